--- a/src/error_type.h
+++ b/src/error_type.h
@@ -1,9 +1,9 @@
 /** @file error_type.h Closed list of error kinds and what a caller may conclude from each. */
 #pragma once
 
-#include <boost/leaf/result.hpp>
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <boost/leaf/result.hpp>
 #include <cstdint>
 #include <string>
 #include <string_view>
--- a/src/id_type.h
+++ b/src/id_type.h
@@ -11,8 +11,7 @@
 namespace sp {
 
 /** Textual id; @p Tag only makes the type distinct. */
-template<typename Tag>
-struct TextId {
+template <typename Tag> struct TextId {
     std::string value; ///< Text of the id, empty if unset.
 
     TextId() = default;
@@ -26,8 +25,7 @@
 };
 
 /** Numeric id; @p Tag only makes the type distinct. */
-template<typename Tag>
-struct NumberId {
+template <typename Tag> struct NumberId {
     std::uint64_t value = 0; ///< Number of the id, 0 if unset.
 
     NumberId() = default;
@@ -62,12 +60,10 @@
 
 } // namespace sp
 
-template<typename Tag>
-struct std::hash<sp::TextId<Tag>> {
+template <typename Tag> struct std::hash<sp::TextId<Tag>> {
     std::size_t operator()(const sp::TextId<Tag>& id) const noexcept { return std::hash<std::string>()(id.value); }
 };
 
-template<typename Tag>
-struct std::hash<sp::NumberId<Tag>> {
+template <typename Tag> struct std::hash<sp::NumberId<Tag>> {
     std::size_t operator()(const sp::NumberId<Tag>& id) const noexcept { return std::hash<std::uint64_t>()(id.value); }
 };
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -11,54 +11,54 @@
 
 namespace {
 
-constexpr std::size_t logRingLines = 65536; ///< At 20,000 decisions a second this bridges a stall of three seconds.
-
-struct Line {
-    LogPart part;
-    LogLevel level;
-    std::string text;
-};
-
-Ring<Line>& logRing()
-{
-    static Ring<Line> ring(logRingLines);
-    return ring;
-}
-
-std::atomic<std::uint64_t> linesDropped { 0 };
-std::atomic<bool> running { false };
-std::thread writer;
+    constexpr std::size_t logRingLines = 65536; ///< At 20,000 decisions a second this bridges a stall of three seconds.
+
+    struct Line {
+        LogPart part;
+        LogLevel level;
+        std::string text;
+    };
+
+    Ring<Line>& logRing()
+    {
+        static Ring<Line> ring(logRingLines);
+        return ring;
+    }
 
-void write(const Line& line)
-{
-    switch (line.level) {
-    case LogLevel::Info:
-        LOG(INFO) << logPrefix(line.part) << ' ' << line.text;
-        break;
-    case LogLevel::Warning:
-        LOG(WARNING) << logPrefix(line.part) << ' ' << line.text;
-        break;
-    case LogLevel::Error:
-        LOG(ERROR) << logPrefix(line.part) << ' ' << line.text;
-        break;
+    std::atomic<std::uint64_t> linesDropped { 0 };
+    std::atomic<bool> running { false };
+    std::thread writer;
+
+    void write(const Line& line)
+    {
+        switch (line.level) {
+        case LogLevel::Info:
+            LOG(INFO) << logPrefix(line.part) << ' ' << line.text;
+            break;
+        case LogLevel::Warning:
+            LOG(WARNING) << logPrefix(line.part) << ' ' << line.text;
+            break;
+        case LogLevel::Error:
+            LOG(ERROR) << logPrefix(line.part) << ' ' << line.text;
+            break;
+        }
     }
-}
 
-void writeWaiting()
-{
-    for (const Line& line : logRing().drain())
-        write(line);
-}
+    void writeWaiting()
+    {
+        for (const Line& line : logRing().drain())
+            write(line);
+    }
 
-void writerLoop()
-{
-    while (running.load(std::memory_order_relaxed)) {
-        pollfd waitFor { logRing().wakeFd(), POLLIN, 0 };
-        poll(&waitFor, 1, 1000);
+    void writerLoop()
+    {
+        while (running.load(std::memory_order_relaxed)) {
+            pollfd waitFor { logRing().wakeFd(), POLLIN, 0 };
+            poll(&waitFor, 1, 1000);
+            writeWaiting();
+        }
         writeWaiting();
     }
-    writeWaiting();
-}
 
 } // namespace
 
@@ -69,7 +69,9 @@
  */
 const char* logPrefix(LogPart part)
 {
-    static constexpr std::array<const char*, 9> prefixes { "gate:", "route:", "place:", "own:", "store:", "link:", "target:", "bundle:", "main:" };
+    static constexpr std::array<const char*, 9> prefixes {
+        "gate:", "route:", "place:", "own:", "store:", "link:", "target:", "bundle:", "main:"
+    };
     return prefixes[static_cast<std::size_t>(part)];
 }
 
@@ -110,21 +112,12 @@
 }
 
 /** Line of ordinary importance. @param part Part. @param text Sentence. */
-void logInfo(LogPart part, std::string text)
-{
-    logLine(part, LogLevel::Info, std::move(text));
-}
+void logInfo(LogPart part, std::string text) { logLine(part, LogLevel::Info, std::move(text)); }
 
 /** Line about something that an operator may have to look at. @param part Part. @param text Sentence. */
-void logWarning(LogPart part, std::string text)
-{
-    logLine(part, LogLevel::Warning, std::move(text));
-}
+void logWarning(LogPart part, std::string text) { logLine(part, LogLevel::Warning, std::move(text)); }
 
 /** @return Number of lines dropped because the ring was full. */
-std::uint64_t logLinesDropped()
-{
-    return linesDropped.load(std::memory_order_relaxed);
-}
+std::uint64_t logLinesDropped() { return linesDropped.load(std::memory_order_relaxed); }
 
 } // namespace sp
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -58,12 +58,11 @@
     std::string prometheusText() const;
 
 private:
-    template<typename T>
-    struct Entry {
+    template <typename T> struct Entry {
         std::string help;
         std::unique_ptr<T> metric;
     };
-    template<typename T>
+    template <typename T>
     static T& find(std::map<std::string, Entry<T>>& entries, const std::string& name, const std::string& help);
 
     mutable std::mutex m_mutex;
--- a/src/ring.h
+++ b/src/ring.h
@@ -19,8 +19,7 @@
  * Bounded ring with many producers and one consumer. The consumer waits on a file descriptor, so that it can wait for
  * sockets and the ring at once.
  */
-template<typename T>
-class Ring {
+template <typename T> class Ring {
 public:
     /** @param capacity Largest number of items that wait. */
     explicit Ring(std::size_t capacity)
