--- a/src/slot_pool.h
+++ b/src/slot_pool.h
@@ -29,6 +29,7 @@
     std::uint32_t slotsTotal = 0; ///< Slots of usable instances.
     std::uint32_t queued = 0;
     Duration expectedWait {}; ///< Wait that a new request would have.
+    Duration releaseInterval {}; ///< Expected time between two releases while all slots are busy, 0 if unknown.
 };
 
 /** How a request left its slot. */
