--- /dev/null
+++ b/src/job_service.cpp
@@ -0,0 +1,378 @@
+#include "job_service.h"
+#include "log_func.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace sp {
+
+namespace {
+
+    constexpr std::uint32_t maxHops = 2;
+    constexpr std::chrono::seconds forwardPatience { 10 }; ///< A record may take this long when the store is slow.
+
+} // namespace
+
+/** @param context Shared state; must outlive the service. */
+JobService::JobService(CoreContext& context)
+    : m_context(context)
+{
+}
+
+/** Sets the policies in force. @param bundle Bundle. @param now Present time. */
+void JobService::applyBundle(const Bundle& bundle, Time now)
+{
+    (void)now;
+    for (auto& [id, shard] : m_shards)
+        shard.scheduler.applyPolicy(bundle);
+}
+
+/** Takes a job from a gateway or a peer. @param submission Job. @param now Present time. */
+void JobService::submitted(JobSubmitted submission, Time now)
+{
+    const WorkloadPolicy* policy = m_context.workload(submission.spec.workload);
+    if (!m_context.bundle) {
+        m_context.refuse(submission.route, submission.id, ErrorKind::NotReady, "no bundle is in force");
+        return;
+    }
+    if (!policy || policy->workClass == WorkClass::Prompt) {
+        m_context.refuse(submission.route, submission.id, ErrorKind::UnknownWorkload,
+            "no job workload '" + submission.spec.workload.value + "'");
+        return;
+    }
+    if (m_context.draining) {
+        m_context.refuse(submission.route, submission.id, ErrorKind::Draining,
+            "scheduler " + m_context.config.self.value + " is shutting down");
+        return;
+    }
+    HostId owner = m_context.config.self;
+    std::string reason;
+    if (submission.shard.empty()) {
+        if (const auto error = chooseShard(submission, owner, reason, now)) {
+            m_context.journal.note(LogPart::Place, submission.id.value, "is refused: " + reason + ".", now);
+            m_context.refuse(submission.route, submission.id, *error, reason);
+            return;
+        }
+    }
+    if (owner == m_context.config.self) {
+        acceptLocal(std::move(submission), *policy, now);
+        return;
+    }
+    m_context.journal.note(LogPart::Place, submission.id.value,
+        "goes to " + owner.value + " for shard " + submission.shard.value + ": " + reason + ".", now);
+    m_forwarded[submission.id] = { submission.route, owner, now + forwardPatience, true };
+    ++submission.hops;
+    m_context.emit(ForwardJob { owner, std::move(submission) });
+}
+
+/** Chooses the worker shard and its owner. @return Error kind if there is none, with the reason. */
+std::optional<ErrorKind> JobService::chooseShard(JobSubmitted& submission, HostId& owner, std::string& reason, Time now)
+{
+    const auto reachable = [&](const HostId& host) {
+        return host == m_context.config.self || (submission.hops < maxHops && m_context.isReachable(host, now));
+    };
+    if (!submission.key.empty()) {
+        submission.shard
+            = shardOfKey(TargetKind::Worker, submission.spec.caller, submission.key, m_context.bundle->cell);
+        reason = "shard of the idempotency key";
+        const auto known = m_context.ownerOf(submission.shard, now);
+        if (!known) {
+            reason = "shard " + submission.shard.value + " of the idempotency key has no owner";
+            return ErrorKind::NoOwner;
+        }
+        owner = *known;
+        if (reachable(owner))
+            return std::nullopt;
+        reason = "owner " + owner.value + " of shard " + submission.shard.value + " can't be reached";
+        return ErrorKind::OwnerUnreachable;
+    }
+    std::int64_t bestFree = -1;
+    bool fitsSomewhere = false;
+    for (const DataCentreId& centre : m_context.bundle->cell.dataCentres) {
+        for (const ShardId& shard : shardsOfDataCentre(centre, m_context.bundle->cell)) {
+            if (kindOfShard(shard) != TargetKind::Worker || !fitsSomeWorker(shard, submission.spec.size))
+                continue;
+            fitsSomewhere = true;
+            const auto known = m_context.ownerOf(shard, now);
+            if (!known || !reachable(*known))
+                continue;
+            std::int64_t free = 0;
+            if (const auto own = m_shards.find(shard); own != m_shards.end() && own->second.owned)
+                free = own->second.scheduler.freeResources().coresMilli;
+            else if (const auto load = m_context.membership->freshLoad(shard, now))
+                free = load->coresFreeMilli;
+            if (free > bestFree) {
+                bestFree = free;
+                owner = *known;
+                submission.shard = shard;
+                reason = "most free cores";
+            }
+        }
+    }
+    if (bestFree >= 0)
+        return std::nullopt;
+    reason = fitsSomewhere ? "no worker shard has a reachable owner" : "a task is larger than any known worker";
+    return fitsSomewhere ? ErrorKind::NoOwner : ErrorKind::NeverRunnable;
+}
+
+bool JobService::fitsSomeWorker(const ShardId& shard, const Resources& size) const
+{
+    return std::any_of(m_context.hosts.begin(), m_context.hosts.end(), [&](const auto& entry) {
+        const HostEntry& host = entry.second;
+        return host.kind == TargetKind::Worker && size.fitsIn(host.worker.capacity)
+            && shardOfTarget(host, m_context.bundle->cell) == shard;
+    });
+}
+
+void JobService::acceptLocal(JobSubmitted submission, const WorkloadPolicy& policy, Time now)
+{
+    const ShardId shardId = submission.shard;
+    const HoldLevel level = m_context.ownership->level(shardId, now);
+    auto it = m_shards.find(shardId);
+    if (it == m_shards.end() || !it->second.jobsLoaded || !m_context.holdsFirmly(shardId, now)) {
+        m_context.refuse(submission.route, submission.id, ErrorKind::NoOwner,
+            "shard " + shardId.value + " is held at level " + holdLevelName(level));
+        return;
+    }
+    submission.spec.submittedAt = now;
+    if (submission.key.empty()) {
+        char hex[40];
+        std::snprintf(hex, sizeof hex, "%016llx%08llx",
+            static_cast<unsigned long long>(m_context.config.incarnation.value),
+            static_cast<unsigned long long>(m_context.newSequence()));
+        submission.spec.id = JobId(shardId.value + "-" + hex);
+    } else {
+        submission.spec.id = JobId(shardId.value + "-" + keyHash(submission.spec.caller, submission.key));
+        if (const auto known = it->second.jobs.find(submission.spec.id); known != it->second.jobs.end()) {
+            if (known->second.record.digest != jobDigest(submission.spec))
+                m_context.refuse(submission.route, submission.id, ErrorKind::KeyConflict,
+                    "the idempotency key was used with other content");
+            else
+                answerStatus(submission.route, submission.id, shardId, submission.spec.id, ErrorKind::Ok);
+            return;
+        }
+    }
+    if (level == HoldLevel::Store) {
+        createRecord(shardId, std::move(submission), now);
+    } else if (policy.idempotent) {
+        enqueue(shardId, submission, false, {}, now);
+    } else {
+        m_context.refuse(submission.route, submission.id, ErrorKind::StoreUnavailable,
+            "work that is not idempotent needs a store record");
+    }
+}
+
+void JobService::createRecord(const ShardId& shardId, JobSubmitted submission, Time now)
+{
+    (void)now;
+    JobRecord record;
+    record.spec = submission.spec;
+    record.digest = jobDigest(submission.spec);
+    record.term = m_context.ownership->term(shardId);
+    record.token = m_context.config.self.value + "-" + std::to_string(m_context.config.incarnation.value) + "-"
+        + std::to_string(m_context.newSequence());
+    const std::string key = jobRecordKey(shardId, submission.spec.id);
+    StoreTxn txn;
+    txn.compares = { { StoreCompare::Kind::Absent, key, {}, {} }, m_context.termCompare(shardId) };
+    txn.writes = { { StoreWrite::Kind::Put, key, jobRecordJson(record), {} } };
+    txn.readOnFailure = { key };
+    ++m_creating;
+    m_context.callStore(txn,
+        [this, shardId, submission = std::move(submission), token = record.token](const StoreReply& reply, Time at) {
+            --m_creating;
+            recordCreated(shardId, submission, token, reply, false, at);
+        });
+}
+
+void JobService::recordCreated(const ShardId& shardId, const JobSubmitted& submission, const std::string& token,
+    const StoreReply& reply, bool readBack, Time now)
+{
+    const WorkloadPolicy* policy = m_context.workload(submission.spec.workload);
+    const std::string key = jobRecordKey(shardId, submission.spec.id);
+    if (reply.status == StoreStatus::Lost && !readBack) {
+        ++m_creating;
+        m_context.callStore(
+            StoreRange { key, false, {} }, [this, shardId, submission, token](const StoreReply& back, Time at) {
+                --m_creating;
+                recordCreated(shardId, submission, token, back, true, at);
+            });
+        return;
+    }
+    const auto found = reply.values.empty() ? std::nullopt : parseJobRecord(reply.values.front().value);
+    const bool own = found && found->token == token;
+    if ((!readBack && reply.status == StoreStatus::Ok) || own) {
+        enqueue(shardId, submission, true, token, now);
+        return;
+    }
+    if (found && found->digest != jobDigest(submission.spec)) {
+        m_context.refuse(
+            submission.route, submission.id, ErrorKind::KeyConflict, "the idempotency key was used with other content");
+        return;
+    }
+    if (found) {
+        answerStatus(submission.route, submission.id, shardId, submission.spec.id, ErrorKind::Ok);
+        return;
+    }
+    if (!readBack && reply.status == StoreStatus::CompareFailed) {
+        m_context.refuse(submission.route, submission.id, ErrorKind::StaleTerm,
+            "the term of shard " + shardId.value + " has been superseded");
+        return;
+    }
+    // The write may still take effect after a lost read back. An idempotent job goes on in memory under the same id, so
+    // that a record that appears later names the same job.
+    if (policy && policy->idempotent && m_context.holdsFirmly(shardId, now))
+        enqueue(shardId, submission, false, token, now);
+    else
+        m_context.refuse(
+            submission.route, submission.id, ErrorKind::StoreUnavailable, "the job record could not be written");
+}
+
+/** Queues a job at its owner and answers the caller. */
+void JobService::enqueue(
+    const ShardId& shardId, const JobSubmitted& submission, bool durable, const std::string& token, Time now)
+{
+    Shard& shard = m_shards[shardId];
+    if (!shard.owned) {
+        // A record that was written is found by the next owner; without one the job exists nowhere.
+        if (durable)
+            answerStatus(submission.route, submission.id, shardId, submission.spec.id, ErrorKind::Ok);
+        else
+            m_context.refuse(submission.route, submission.id,
+                token.empty() ? ErrorKind::NoOwner : ErrorKind::AnswerLost,
+                "the hold on shard " + shardId.value + " was lost");
+        return;
+    }
+    Job job;
+    job.record.spec = submission.spec;
+    job.record.digest = jobDigest(submission.spec);
+    job.record.token = token;
+    job.durable = durable;
+    job.dirty = !durable;
+    const SubmitResult result = shard.scheduler.submit(submission.spec, now);
+    if (result.error != ErrorKind::Ok) {
+        m_context.journal.note(LogPart::Place, submission.spec.id.value, "is refused: " + result.reason + ".", now);
+        if (durable) {
+            StoreTxn txn;
+            txn.compares = { m_context.termCompare(shardId) };
+            txn.writes = { { StoreWrite::Kind::Delete, jobRecordKey(shardId, submission.spec.id), {}, {} } };
+            m_context.callStore(txn);
+        }
+        m_context.refuse(submission.route, submission.id, result.error, result.reason);
+        return;
+    }
+    shard.jobs[submission.spec.id] = std::move(job);
+    m_context.journal.note(
+        LogPart::Place, submission.spec.id.value, "is queued for request " + submission.id.value + ".", now);
+    answerStatus(submission.route, submission.id, shardId, submission.spec.id, ErrorKind::Ok);
+}
+
+void JobService::answerStatus(
+    const ReplyRoute& route, const RequestId& id, const ShardId& shardId, const JobId& job, ErrorKind error)
+{
+    AnswerMessage answer;
+    answer.id = id;
+    answer.error = error;
+    answer.job = job;
+    const Shard& shard = m_shards[shardId];
+    answer.durable = true;
+    if (const auto it = shard.jobs.find(job); it != shard.jobs.end()) {
+        answer.durable = it->second.durable;
+        if (it->second.ended)
+            answer.status = JobStatus { it->second.record.phase, it->second.record.spec.tasks, 0,
+                static_cast<std::uint32_t>(it->second.record.finished.size()), 0, it->second.record.reason,
+                it->second.record.result };
+        else
+            answer.status = shard.scheduler.status(job);
+    }
+    m_context.answer(route, std::move(answer));
+}
+
+/** Takes a query, cancellation or release. @param command Command. @param now Present time. */
+void JobService::commanded(JobCommanded command, Time now)
+{
+    const ShardId shardId = shardOfJob(command.job);
+    if (shardId.empty()) {
+        m_context.refuse(command.route, command.id, ErrorKind::NotFound, "no such job id");
+        return;
+    }
+    const auto owner = m_context.ownerOf(shardId, now);
+    const auto own = m_shards.find(shardId);
+    if (own != m_shards.end() && own->second.owned) {
+        commandLocal(command, shardId, now);
+        return;
+    }
+    if (!owner || *owner == m_context.config.self || command.hops >= maxHops || !m_context.isReachable(*owner, now)) {
+        // The command was not carried out; what it asks about may run.
+        m_context.refuse(command.route, command.id, owner ? ErrorKind::OwnerUnreachable : ErrorKind::NoOwner,
+            "shard " + shardId.value + " has no reachable owner");
+        return;
+    }
+    m_forwarded[command.id] = { command.route, *owner, now + command.wait + forwardPatience, false };
+    ++command.hops;
+    m_context.emit(ForwardJobCommand { *owner, std::move(command) });
+}
+
+void JobService::commandLocal(const JobCommanded& command, const ShardId& shardId, Time now)
+{
+    Shard& shard = m_shards[shardId];
+    const auto it = shard.jobs.find(command.job);
+    if (it == shard.jobs.end()) {
+        if (!shard.jobsLoaded)
+            m_context.refuse(command.route, command.id, ErrorKind::NoOwner, "the shard is recovering");
+        else
+            m_context.refuse(command.route, command.id, ErrorKind::NotFound, "no such job");
+        return;
+    }
+    if (it->second.record.spec.caller != command.caller) {
+        m_context.refuse(command.route, command.id, ErrorKind::NotFound, "no such job");
+        return;
+    }
+    if (command.verb == JobCommanded::Verb::Query) {
+        if (command.wait.count() > 0 && !it->second.ended)
+            m_waiters.push_back({ command.route, command.id, command.job, now + command.wait });
+        else
+            answerStatus(command.route, command.id, shardId, command.job, ErrorKind::Ok);
+        return;
+    }
+    const WorkloadPolicy* policy = m_context.workload(it->second.record.spec.workload);
+    const bool release = command.verb == JobCommanded::Verb::Release;
+    if (release && (!policy || policy->workClass != WorkClass::Hold)) {
+        m_context.refuse(command.route, command.id, ErrorKind::BadRequest, "only a hold can be released");
+        return;
+    }
+    m_context.journal.note(LogPart::Place, command.job.value, release ? "is released." : "is cancelled.", now);
+    const auto stops
+        = release ? shard.scheduler.releaseHold(command.job, now) : shard.scheduler.cancel(command.job, now);
+    for (const TaskStop& stop : stops)
+        sendStop(shardId, shard, stop, now);
+    collectFinished(shardId, shard, now);
+    answerStatus(command.route, command.id, shardId, command.job, ErrorKind::Ok);
+}
+
+/** Passes the answer of a forwarded job message on. @param answered Answer. @param now Present time. @return False if
+ * it is not a job's. */
+bool JobService::peerAnswered(const PeerAnswered& answered, Time now)
+{
+    (void)now;
+    auto node = m_forwarded.extract(answered.answer.id);
+    if (node.empty())
+        return false;
+    m_context.answer(node.mapped().route, answered.answer);
+    return true;
+}
+
+/** Answers what was forwarded to a peer that is dead. @param peer Peer. @param now Present time. */
+void JobService::peerLost(const HostId& peer, Time now)
+{
+    (void)now;
+    for (auto it = m_forwarded.begin(); it != m_forwarded.end();) {
+        if (it->second.to == peer) {
+            m_context.refuse(it->second.route, it->first, ErrorKind::AnswerLost, "owner " + peer.value + " is dead");
+            it = m_forwarded.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+} // namespace sp
