Change: ownership with promises, read-back of lost answers, hand-over and fenced level

Lost answers of grant, keepalive, claim, renewal and release are handled; a hold whose session was lost is renewed under its term if the term counter shows that nobody else has claimed. Promises cover the shards that a heartbeat announces. Shards are balanced, handed over and released; pauses have jitter from a seed.

--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -1,17 +1,44 @@
 #include "ownership.h"
 
-#include <charconv>
+#include "chart_text.h"
+
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace sp {
 
 namespace {
 
-    std::uint64_t parseCounter(const std::string& text)
+    /** The text is compiled in and a test parses it, so that a fault in it can't reach a running process. */
+    StateChart holdChart()
+    {
+        return leaf::try_handle_all(
+            []() -> leaf::result<StateChart> { return StateChart::parse(holdChartText, "hold.chart"); },
+            [](const ErrorDetail& detail) -> StateChart { throw std::logic_error(detail.text); },
+            []() -> StateChart { throw std::logic_error("hold.chart"); });
+    }
+
+    HoldLevel levelNamed(const std::string& name)
+    {
+        for (const HoldLevel level : { HoldLevel::None, HoldLevel::Claiming, HoldLevel::Recovering, HoldLevel::Store,
+                 HoldLevel::Promise, HoldLevel::Fenced, HoldLevel::Lost }) {
+            if (name == holdLevelName(level))
+                return level;
+        }
+        throw std::logic_error("hold.chart has the state " + name + ", which is no hold level");
+    }
+
+    std::string textField(const nlohmann::json& json, const char* name)
+    {
+        const auto it = json.find(name);
+        return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
+    }
+
+    std::uint64_t numberField(const nlohmann::json& json, const char* name)
     {
-        std::uint64_t value = 0;
-        std::from_chars(text.data(), text.data() + text.size(), value);
-        return value;
+        const auto it = json.find(name);
+        return it != json.end() && it->is_number_unsigned() ? it->get<std::uint64_t>() : 0;
     }
 
 } // namespace
@@ -26,182 +53,202 @@
 Ownership::Ownership(OwnershipConfig config, StoreCall call)
     : m_config(std::move(config))
     , m_call(std::move(call))
+    , m_chart(holdChart())
+    , m_random(m_config.seed)
 {
+    for (const std::string& name : m_chart.states())
+        m_levels.push_back(levelNamed(name));
+    for (const HostId& peer : m_config.peers)
+        addPeer(peer);
 }
 
-/** Starts the protocol. @param now Present time. */
+/** Starts the protocol. No shard is claimed for one promise period, since promises of an earlier run are not known.
+ * @param now Present time. */
 void Ownership::start(Time now)
 {
     m_startedAt = now;
-    m_leaseCall = m_call(StoreLeaseGrant { std::chrono::duration_cast<std::chrono::seconds>(m_config.leaseTtl) });
+    m_nextSessionCall = now;
+    keepSession(now);
 }
 
 /** Sets the shards of the data centre. @param shards All of them. @param now Present time. */
 void Ownership::setShards(const std::vector<ShardId>& shards, Time now)
 {
     for (const ShardId& id : shards) {
-        if (auto [it, added] = m_shards.try_emplace(id); added)
+        if (auto [it, added] = m_shards.try_emplace(id); added) {
+            it->second.state = m_chart.initial();
             it->second.freeSince = now;
+        }
     }
 }
 
-/** Renews the session, claims free shards, lowers holds that have run out. @param now Present time. */
-void Ownership::tick(Time now)
+/** Adds a scheduler of the data centre that the settings don't name but the store's member list does. It is never
+ * removed: once its entry is gone it may come back and claim while this scheduler can't see the list.
+ * @param peer Scheduler. */
+void Ownership::addPeer(const HostId& peer)
 {
-    if (m_leaseCall.value == 0 && now >= m_nextKeepAlive) {
-        m_nextKeepAlive = now + m_config.keepAliveEvery;
-        m_leaseCall = m_lease.value
-            ? m_call(StoreLeaseKeepAlive { m_lease })
-            : m_call(StoreLeaseGrant { std::chrono::duration_cast<std::chrono::seconds>(m_config.leaseTtl) });
-    }
-    for (auto& [id, shard] : m_shards) {
-        if (shard.level == HoldLevel::Store && !sessionFresh(now))
-            change(id, shard, HoldLevel::None, "session lapsed");
-        const bool mayClaim = sessionFresh(now) && !m_releasing && now - m_startedAt >= m_config.promise;
-        if (shard.level == HoldLevel::None && mayClaim && shard.owner.empty() && shard.pending.value == 0)
-            shard.pending = m_call(StoreRange { termKey(id), false, {} });
-    }
+    if (peer != m_config.self)
+        m_peers.try_emplace(peer);
 }
 
-/** Takes a reply of the store. @param reply Reply. @param now Present time. @return False if the ticket is not this
- * object's. */
-bool Ownership::storeReplied(const StoreReply& reply, Time now)
+/** Renews the session, claims free shards, lowers holds that have run out. @param now Present time. */
+void Ownership::tick(Time now)
 {
-    if (m_leaseCall.value && reply.ticket == m_leaseCall) {
-        m_leaseCall = {};
-        if (reply.status == StoreStatus::Ok) {
-            m_lease = reply.lease;
-            m_leaseUntil = reply.sentAt + reply.ttl - m_config.margin;
-        } else if (reply.status == StoreStatus::LeaseNotFound) {
-            m_lease = {};
-            m_nextKeepAlive = now;
-        }
-        return true;
-    }
+    keepSession(now);
     for (auto& [id, shard] : m_shards) {
-        if (shard.pending.value && reply.ticket == shard.pending) {
-            shard.pending = {};
-            claimReplied(id, shard, reply, now);
-            return true;
-        }
+        refresh(id, shard, now);
+        if (shard.ticket.value == 0 && now >= shard.nextTry)
+            work(id, shard, now);
     }
-    return false;
+    handOver(now);
 }
 
-void Ownership::claim(const ShardId& id, Shard& shard, Term last, Time now)
+/** Takes a change of an owner key from a watch or a reconciling read. Older news than already known is ignored.
+ * @param shard Shard. @param value New value, absent if deleted. @param revision Store revision at which this was true.
+ * @param now Present time. */
+void Ownership::ownerKeyChanged(
+    const ShardId& shard, const std::optional<std::string>& value, Revision revision, Time now)
 {
-    (void)now;
-    shard.claimedTerm = Term(last.value + 1);
-    shard.token
-        = m_config.self.value + "-" + std::to_string(m_config.incarnation.value) + "-" + std::to_string(++m_tokens);
-    const nlohmann::json value { { "host", m_config.self.value }, { "incarnation", m_config.incarnation.value },
-        { "term", shard.claimedTerm.value }, { "token", shard.token } };
-    StoreTxn txn;
-    txn.compares.push_back({ StoreCompare::Kind::Absent, ownerKey(id), {}, {} });
-    if (last.value == 0)
-        txn.compares.push_back({ StoreCompare::Kind::Absent, termKey(id), {}, {} });
-    else
-        txn.compares.push_back({ StoreCompare::Kind::Value, termKey(id), {}, std::to_string(last.value) });
-    txn.writes.push_back({ StoreWrite::Kind::Put, ownerKey(id), value.dump(), m_lease });
-    txn.writes.push_back({ StoreWrite::Kind::Put, termKey(id), std::to_string(shard.claimedTerm.value), {} });
-    change(id, shard, HoldLevel::Claiming, "owner key is absent");
-    shard.pending = m_call(txn);
+    if (auto it = m_shards.find(shard); it != m_shards.end())
+        noteOwner(shard, it->second, value, revision, now);
 }
 
-void Ownership::claimReplied(const ShardId& id, Shard& shard, const StoreReply& reply, Time now)
+/** Notes that a peer lives. @param peer Peer. @param incarnation Its incarnation. @param draining Whether it leaves.
+ * @param now Present time. @param ready Whether it can take a shard. */
+void Ownership::peerSeen(const HostId& peer, Incarnation incarnation, bool draining, Time now, bool ready)
 {
-    if (shard.level == HoldLevel::None && reply.status == StoreStatus::Ok) {
-        const Term last(reply.values.empty() ? 0 : parseCounter(reply.values.front().value));
-        claim(id, shard, last, now);
+    if (peer == m_config.self)
         return;
-    }
-    if (shard.level != HoldLevel::Claiming)
-        return;
-    if (reply.status == StoreStatus::Ok && sessionFresh(now)) {
-        shard.term = shard.claimedTerm;
-        shard.owner = m_config.self;
-        change(id, shard, HoldLevel::Recovering, "claim won");
-    } else {
-        change(id, shard, HoldLevel::None, "claim failed");
-    }
+    Peer& known = m_peers[peer];
+    known.incarnation = incarnation;
+    known.seenAt = now;
+    known.draining = draining;
+    known.ready = ready;
 }
 
-/** Takes a change of an owner key. @param shard Shard. @param value New value, absent if deleted. @param revision
- * Revision of the change. @param now Present time. */
-void Ownership::ownerKeyChanged(
-    const ShardId& shard, const std::optional<std::string>& value, Revision revision, Time now)
+/** Takes the shards that a peer announces in a heartbeat. A higher term for a shard held here ends the own hold. Must
+ * be called before promiseFor, since a promise covers only announced shards. @param peer Peer. @param loads Announced
+ * shards with their terms. @param now Present time. */
+void Ownership::peerHolds(const HostId& peer, const std::vector<ShardLoad>& loads, Time now)
 {
-    (void)revision;
-    auto it = m_shards.find(shard);
-    if (it == m_shards.end())
+    if (peer == m_config.self)
         return;
-    it->second.ownerValue = value.value_or("");
-    it->second.owner = {};
-    it->second.freeSince = now;
-    if (!value)
+    Peer& known = m_peers[peer];
+    known.holdsAt = now;
+    known.mayPromise = true;
+    std::vector<Shard*> covered;
+    for (const ShardLoad& load : loads) {
+        const auto it = m_shards.find(load.shard);
+        const bool isHold
+            = load.level != HoldLevel::None && load.level != HoldLevel::Claiming && load.level != HoldLevel::Lost;
+        if (it == m_shards.end() || !isHold)
+            continue;
+        if (canPromise(it->first, it->second, load.term, now))
+            covered.push_back(&it->second);
+        else
+            known.mayPromise = false;
+    }
+    if (!known.mayPromise)
         return;
-    const auto json = nlohmann::json::parse(*value, nullptr, false);
-    if (json.is_object() && json.contains("host") && json["host"].is_string())
-        it->second.owner = HostId(json["host"].get<std::string>());
+    for (Shard* shard : covered)
+        shard->promisedUntil = std::max<Time>(shard->promisedUntil, now + m_config.promise);
 }
 
-/** Notes that a peer lives. @param peer Peer. @param incarnation Its incarnation. @param draining Whether it leaves.
- * @param now Present time. */
-void Ownership::peerSeen(const HostId& peer, Incarnation incarnation, bool draining, Time now)
+/** Whether this scheduler can promise not to claim a shard that a peer announces under a term. */
+bool Ownership::canPromise(const ShardId& id, Shard& shard, Term announced, Time now)
 {
-    (void)peer;
-    (void)incarnation;
-    (void)draining;
-    (void)now;
+    if (isHeld(shard) && announced > shard.term)
+        lose(id, shard, "superseded", "a peer announces a higher term");
+    const bool isClaimOpen = levelOf(shard.state) == HoldLevel::Claiming || shard.isUnresolved;
+    if (announced < shard.highest || isHeld(shard) || (isClaimOpen && !m_config.faults.promiseWhileClaiming)) {
+        refresh(id, shard, now);
+        return false;
+    }
+    shard.highest = announced;
+    return true;
 }
 
-/** Promise that this scheduler gives. @param peer Peer that asks. @param now Present time. @return Length from the
- * peer's sending time, 0 for none. */
+/** Promise that this scheduler gives for the shards that peerHolds named at the same time.
+ * @param peer Peer that asks. @param now Present time. @return Length from the peer's sending time, 0 for none. */
 std::chrono::milliseconds Ownership::promiseFor(const HostId& peer, Time now)
 {
-    (void)peer;
-    (void)now;
-    return std::chrono::milliseconds(0);
+    const auto it = m_peers.find(peer);
+    const bool isGiven = it != m_peers.end() && it->second.holdsAt == now && it->second.mayPromise;
+    return isGiven ? m_config.promise : std::chrono::milliseconds(0);
 }
 
-/** Notes a promise of a peer. @param peer Peer. @param sentAt When this scheduler asked. @param promise Length. @param
- * now Present time. */
+/** Notes a promise of a peer. @param peer Peer. @param sentAt When this scheduler sent the heartbeat that announced
+ * its shards. @param promise Length from then, 0 for none. @param now Present time. */
 void Ownership::promiseReceived(const HostId& peer, Time sentAt, std::chrono::milliseconds promise, Time now)
 {
-    (void)peer;
-    (void)sentAt;
-    (void)promise;
-    (void)now;
+    const auto it = m_peers.find(peer);
+    if (it == m_peers.end() || promise.count() <= 0 || sentAt > now)
+        return;
+    if (it->second.promiseSentAt && *it->second.promiseSentAt >= sentAt)
+        return;
+    it->second.promiseSentAt = sentAt;
+    it->second.promiseUntil = sentAt + promise - m_config.margin;
 }
 
 /** Notes that a recovery is complete. @param shard Shard. @param now Present time. */
 void Ownership::recovered(const ShardId& shard, Time now)
 {
-    (void)now;
-    if (auto it = m_shards.find(shard); it != m_shards.end() && it->second.level == HoldLevel::Recovering)
-        change(shard, it->second, HoldLevel::Store, "all targets have answered");
+    const auto it = m_shards.find(shard);
+    if (it == m_shards.end() || !isHeld(it->second))
+        return;
+    it->second.recovered = true;
+    refresh(shard, it->second, now);
 }
 
 /** Notes that a target has seen a higher term. @param shard Shard. @param higher That term. @param now Present time. */
 void Ownership::superseded(const ShardId& shard, Term higher, Time now)
 {
-    (void)now;
-    if (auto it = m_shards.find(shard);
-        it != m_shards.end() && higher > it->second.term && it->second.level != HoldLevel::None)
-        change(shard, it->second, HoldLevel::None, "a target has seen a higher term");
+    const auto it = m_shards.find(shard);
+    if (it == m_shards.end())
+        return;
+    it->second.highest = std::max(it->second.highest, higher);
+    if (!isHeld(it->second) || higher <= it->second.term)
+        return;
+    // The key may still be there, for instance if the store has lost a term; without it the shard can be claimed anew.
+    it->second.releaseValue = it->second.keyValue;
+    it->second.nextTry = now;
+    lose(shard, it->second, "superseded", "a target has seen a higher term");
 }
 
-/** Gives up all holds and the session. @param now Present time. */
+/** Gives up all holds and claims nothing more. The session lives on until endSession. @param now Present time. */
 void Ownership::releaseAll(Time now)
 {
-    (void)now;
-    m_releasing = true;
+    m_isReleasing = true;
     for (auto& [id, shard] : m_shards) {
-        if (shard.level != HoldLevel::None)
-            change(id, shard, HoldLevel::None, "shutdown");
+        if (!isHeld(shard) && levelOf(shard.state) != HoldLevel::Claiming)
+            continue;
+        shard.releaseValue = shard.keyValue;
+        shard.nextTry = now;
+        lose(id, shard, "released", "shutdown");
     }
+    tick(now);
+}
+
+/** Whether all shards are given up. @param now Present time. @return True if the owner keys are deleted or the session
+ * that protects them has lapsed. */
+bool Ownership::isReleased(Time now) const
+{
+    return !sessionFresh(now) || std::all_of(m_shards.begin(), m_shards.end(), [](const auto& entry) {
+        return entry.second.releaseValue.empty() && entry.second.ticket.value == 0;
+    });
+}
+
+/** Ends the session at the end of a shutdown, after the calls in flight. @param now Present time. */
+void Ownership::endSession(Time now)
+{
+    if (m_isEnded)
+        return;
+    if (!m_isReleasing)
+        releaseAll(now);
+    m_isEnded = true;
+    m_leaseUntil = {};
     if (m_lease.value)
-        m_call(StoreLeaseRevoke { m_lease });
+        m_sessionCalls[m_call(StoreLeaseRevoke { m_lease })] = { false, m_lease };
 }
 
 /** Hold level. @param shard Shard. @param now Present time. @return Level, None if the shard is unknown. */
@@ -210,9 +257,14 @@
     const auto it = m_shards.find(shard);
     if (it == m_shards.end())
         return HoldLevel::None;
-    const HoldLevel level = it->second.level;
-    return (level == HoldLevel::Store || level == HoldLevel::Recovering) && !sessionFresh(now) ? HoldLevel::None
-                                                                                               : level;
+    const Shard& found = it->second;
+    if (!isHeld(found))
+        return levelOf(found.state);
+    if (isLeased(found, now))
+        return found.recovered ? HoldLevel::Store : HoldLevel::Recovering;
+    if (isPromised(found, now))
+        return found.recovered ? HoldLevel::Promise : HoldLevel::Recovering;
+    return m_config.targetsCheckTerms ? HoldLevel::Fenced : HoldLevel::None;
 }
 
 /** Term of the present or last hold. @param shard Shard. @return Term, 0 if never held. */
@@ -222,28 +274,124 @@
     return it == m_shards.end() ? Term() : it->second.term;
 }
 
-/** Owner as the store names it. @param shard Shard. @return Host, if one is known. */
+/** Owner as the store names it. @param shard Shard. @return Host, if one is known; not this host if the key was written
+ * by an earlier run of it. */
 std::optional<HostId> Ownership::ownerOf(const ShardId& shard) const
 {
     const auto it = m_shards.find(shard);
-    if (it == m_shards.end() || it->second.owner.empty())
+    if (it == m_shards.end())
         return std::nullopt;
-    return it->second.owner;
+    if (isHeld(it->second))
+        return m_config.self;
+    const OwnerKey& owner = it->second.owner;
+    return owner.host.empty() || owner.host == m_config.self ? std::nullopt : std::optional(owner.host);
 }
 
 /** @return Changes since the last call, in order. */
 std::vector<HoldChange> Ownership::takeChanges() { return std::exchange(m_changes, {}); }
 
 /** Whether the session lease is fresh on the local clock. @param now Present time. @return True if so. */
-bool Ownership::sessionFresh(Time now) const { return m_lease.value != 0 && now < m_leaseUntil; }
+bool Ownership::sessionFresh(Time now) const
+{
+    return m_lease.value != 0 && (now < m_leaseUntil || (m_config.faults.ignoreLeaseDeadline && !m_isEnded));
+}
 
 /** @return Session lease, 0 if there is none. */
 StoreLeaseId Ownership::sessionLease() const { return m_lease; }
 
-void Ownership::change(const ShardId& id, Shard& shard, HoldLevel to, const std::string& reason)
+HoldLevel Ownership::levelOf(ChartState state) const { return m_levels[state]; }
+
+bool Ownership::isHeld(const Shard& shard) const
+{
+    const HoldLevel level = levelOf(shard.state);
+    return level == HoldLevel::Recovering || level == HoldLevel::Store || level == HoldLevel::Promise
+        || level == HoldLevel::Fenced;
+}
+
+bool Ownership::isLeased(const Shard& shard, Time now) const
+{
+    return shard.lease.value != 0 && shard.lease == m_lease && sessionFresh(now);
+}
+
+bool Ownership::isPromised(const Shard& shard, Time now) const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        const Peer& peer = entry.second;
+        return peer.promiseSentAt && *peer.promiseSentAt > shard.wonAt && now < peer.promiseUntil;
+    });
+}
+
+bool Ownership::isOwn(const OwnerKey& owner) const
+{
+    return owner.host == m_config.self && owner.incarnation == m_config.incarnation;
+}
+
+/** Raises an event of the state chart and records the change of level, if there is one. */
+void Ownership::raise(const ShardId& id, Shard& shard, std::string_view event, const std::string& reason)
 {
-    m_changes.push_back({ id, shard.level, to, shard.term, reason });
-    shard.level = to;
+    const auto index = m_chart.event(event);
+    if (!index)
+        throw std::logic_error("hold.chart has no event " + std::string(event));
+    const auto next = m_chart.next(shard.state, *index);
+    if (!next || *next == shard.state)
+        return;
+    const auto shown = [this](ChartState state) {
+        const HoldLevel level = levelOf(state);
+        return level == HoldLevel::Fenced && !m_config.targetsCheckTerms ? HoldLevel::None : level;
+    };
+    m_changes.push_back({ id, shown(shard.state), shown(*next), shard.term, reason });
+    shard.state = *next;
+}
+
+/** Raises the event for what protects a hold at present. */
+void Ownership::refresh(const ShardId& id, Shard& shard, Time now)
+{
+    if (!isHeld(shard))
+        return;
+    const bool leased = isLeased(shard, now);
+    if (!leased && !isPromised(shard, now))
+        raise(id, shard, "unprotected", "session lease and promises have run out");
+    else if (!shard.recovered)
+        raise(id, shard, "protected_unrecovered", leased ? "session lease is fresh" : "all peers have promised");
+    else if (leased)
+        raise(id, shard, "lease_fresh", "recovered, session lease is fresh");
+    else
+        raise(id, shard, "promises_complete", "session lease has run out, all peers have promised");
+}
+
+void Ownership::lose(const ShardId& id, Shard& shard, std::string_view event, const std::string& reason)
+{
+    raise(id, shard, event, reason);
+    shard.recovered = false;
+    shard.lease = {};
+    shard.isUnresolved = false;
+}
+
+/** Takes the state of the owner key at a revision of the store. */
+void Ownership::noteOwner(
+    const ShardId& id, Shard& shard, const std::optional<std::string>& value, Revision revision, Time now)
+{
+    if (revision < shard.owner.revision)
+        return;
+    const bool wasFree = shard.owner.value.empty();
+    shard.owner = { value.value_or(""), {}, {}, {}, revision };
+    if (!value && !wasFree)
+        shard.freeSince = now;
+    const auto json = value ? nlohmann::json::parse(*value, nullptr, false) : nlohmann::json();
+    if (json.is_object()) {
+        shard.owner.host = HostId(textField(json, "host"));
+        shard.owner.incarnation = Incarnation(numberField(json, "incarnation"));
+        shard.owner.term = Term(numberField(json, "term"));
+    }
+    shard.highest = std::max(shard.highest, shard.owner.term);
+    const bool isWritePending = shard.step == Step::Renew || shard.step == Step::ReadRenewal || shard.isUnresolved;
+    if (!isHeld(shard) || shard.owner.value == shard.keyValue || (isWritePending && isOwn(shard.owner)))
+        return;
+    if (shard.owner.term > shard.term)
+        lose(id, shard, "superseded", "the store names " + shard.owner.host.value + " under a higher term");
+    else
+        shard.lease = {}; // The key is gone, so the lease no longer protects the hold.
+    refresh(id, shard, now);
 }
 
 } // namespace sp
