--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 check: build ## all tests, formatter, linter, sanitizers
 	@.ci/check $(BUILD)
+
+soak: build ## randomised faults against the core, SEED=n STEPS=n
+	@$(BUILD)/sp-soak --seed $(SEED) --steps $(STEPS)
