--- a/src/ownership.h
+++ b/src/ownership.h
@@ -177,6 +177,8 @@
     unsigned m_sessionFailures = 0;
     bool m_isOutage = false; ///< The session has lapsed for want of answers.
     std::optional<Time> m_surplusSince;
+    std::optional<Time> m_handedOverAt;
+    int m_handOverFactor = 1; ///< Grows while hand-overs follow each other.
     std::uint64_t m_tokens = 0;
     bool m_isReleasing = false;
     bool m_isEnded = false;
--- a/src/ownership_balance.cpp
+++ b/src/ownership_balance.cpp
@@ -4,6 +4,16 @@
 
 namespace sp {
 
+namespace {
+
+    /** A peer that is heard but can't claim, for instance for want of the store, would otherwise cost each shard that
+     * is handed over about 2 s without an owner every 5 s. The wait doubles with each hand-over up to this factor. */
+    constexpr int maxHandOverFactor = 16;
+    /** Time without a hand-over after which the wait is short again. */
+    constexpr std::chrono::seconds handOverCalm { 120 };
+
+} // namespace
+
 bool Ownership::isLive(const Peer& peer, Time now) const
 {
     return peer.seenAt && now - *peer.seenAt < m_config.peerDeadAfter && peer.ready && !peer.draining;
@@ -56,12 +66,16 @@
     }
     if (!m_surplusSince)
         m_surplusSince = now;
-    if (now - *m_surplusSince < m_config.handOverAfter)
+    if (m_handedOverAt && now - *m_handedOverAt >= handOverCalm)
+        m_handOverFactor = 1;
+    if (now - *m_surplusSince < m_config.handOverAfter * m_handOverFactor)
         return;
     for (auto& [id, shard] : m_shards) {
         if (level(id, now) != HoldLevel::Store || shard.ticket.value != 0)
             continue;
         m_surplusSince.reset();
+        m_handedOverAt = now;
+        m_handOverFactor = std::min(m_handOverFactor * 2, maxHandOverFactor);
         shard.releaseValue = shard.keyValue;
         shard.nextTry = now;
         // The receiver needs some time to claim; without this pause the own claim above the share could come first.
--- a/src/soak/ownership_node.cpp
+++ b/src/soak/ownership_node.cpp
@@ -117,24 +117,30 @@
         {
             if (m_ownership.storeReplied(reply, now) || reply.ticket != m_reconcile || reply.status != StoreStatus::Ok)
                 return;
+            std::map<ShardId, std::string> values;
+            for (const StoreKeyValue& found : reply.values)
+                values[ShardId(found.key.substr(std::string(ownerPrefix).size()))] = found.value;
             for (const ShardId& shard : m_shards) {
-                std::optional<std::string> value;
-                for (const StoreKeyValue& found : reply.values) {
-                    if (found.key == ownerKey(shard))
-                        value = found.value;
-                }
+                const auto it = values.find(shard);
+                const auto value = it == values.end() ? std::nullopt : std::optional(it->second);
                 m_ownership.ownerKeyChanged(shard, value, reply.revision, now);
             }
-            if (!std::exchange(m_isWatching, true))
+            // A difference means that the watch is silent, or only late, in which case a new one does no harm.
+            if (values != m_watched)
                 (*m_sink)(WatchStore { ownerPrefix, Revision(reply.revision.value + 1) });
+            m_watched = std::move(values);
         }
         void watched(const StoreWatchBatch& batch, Time now)
         {
             const std::size_t cut = std::string(ownerPrefix).size();
-            for (const StoreKeyValue& put : batch.puts)
+            for (const StoreKeyValue& put : batch.puts) {
+                m_watched[ShardId(put.key.substr(cut))] = put.value;
                 m_ownership.ownerKeyChanged(ShardId(put.key.substr(cut)), put.value, put.modRevision, now);
-            for (const std::string& key : batch.deletes)
+            }
+            for (const std::string& key : batch.deletes) {
+                m_watched.erase(ShardId(key.substr(cut)));
                 m_ownership.ownerKeyChanged(ShardId(key.substr(cut)), std::nullopt, batch.revision, now);
+            }
         }
         void drain(Time now)
         {
@@ -157,7 +163,7 @@
         bool m_isStarted = false;
         bool m_isDraining = false;
         bool m_isEnded = false;
-        bool m_isWatching = false;
+        std::map<ShardId, std::string> m_watched; ///< Owner keys as the watch has shown them.
         std::uint64_t m_tickets = 0;
         StoreTicket m_reconcile;
         Time m_nextReconcile {};
