--- a/src/runtime_model.cpp
+++ b/src/runtime_model.cpp
@@ -131,6 +131,23 @@
     return values->quantile(q);
 }
 
+/**
+ * Expectation about a request.
+ * @param workload Workload.
+ * @param caller Caller.
+ * @param now Present time.
+ * @return Expectation; nothing if neither the caller nor the workload has enough samples.
+ */
+std::optional<RunTimeEstimate> RuntimeModel::estimate(
+    const WorkloadId& workload, const CallerId& caller, Time now) const
+{
+    const DecayedQuantiles* own = find(workload, caller, now);
+    const DecayedQuantiles* values = own ? own : find(workload, CallerId(), now);
+    if (!values)
+        return std::nullopt;
+    return RunTimeEstimate { values->quantile(0.1), values->quantile(0.5), own != nullptr };
+}
+
 std::size_t RuntimeModel::KeyHash::hash(const WorkloadId& workload, const CallerId& caller)
 {
     return std::hash<WorkloadId>()(workload) * 31 + std::hash<CallerId>()(caller);
--- a/src/runtime_model.h
+++ b/src/runtime_model.h
@@ -31,6 +31,13 @@
     Time m_updatedAt {};
 };
 
+/** Expectation about the run time of a request. */
+struct RunTimeEstimate {
+    Duration low {}; ///< Exceeded by nine of ten.
+    Duration typical {}; ///< Median.
+    bool ofCaller = false; ///< Learned from the caller itself, not from its workload.
+};
+
 /** Limits of a RuntimeModel. */
 struct RuntimeModelOptions {
     std::size_t entries = 10000; ///< Largest number of callers known; the least recently seen is forgotten.
@@ -46,6 +53,7 @@
     explicit RuntimeModel(RuntimeModelOptions options = {});
     void learn(const WorkloadId& workload, const CallerId& caller, Duration runTime, Time now);
     std::optional<Duration> quantile(const WorkloadId& workload, const CallerId& caller, double q, Time now) const;
+    std::optional<RunTimeEstimate> estimate(const WorkloadId& workload, const CallerId& caller, Time now) const;
     std::size_t size() const { return m_entries.size(); }
 
 private:
