--- /dev/null
+++ b/src/task_placing.cpp
@@ -0,0 +1,450 @@
+#include "task_scheduler.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace sp {
+
+namespace {
+
+/** Bounds of one round, so that other events of the core don't wait long behind it. */
+constexpr std::size_t lanesPerRound = 4096;
+constexpr std::size_t startsPerRound = 4096;
+
+/** A claim that is not served in this time is made again elsewhere: the stopped task may hang. */
+constexpr Duration claimTimeout = std::chrono::seconds(10);
+
+/** Interval of the search for borrowed quota to give back, which looks at all lanes. */
+constexpr Duration reclaimInterval = std::chrono::milliseconds(200);
+
+/** Tasks stopped in one such search. */
+constexpr int reclaimsPerRound = 16;
+
+/** Waiting tasks of a job that are tried when the first one must avoid the free workers. */
+constexpr std::size_t tasksToTry = 4;
+
+Resources times(const Resources& size, std::int64_t count)
+{
+    return { size.coresMilli * count, size.memoryMb * count, size.accelerators * count };
+}
+
+} // namespace
+
+/** Places waiting work. Returns at once if nothing has changed that could let any of it start.
+ * @param now Present time. @return Starts and stops to carry out. */
+ScheduleRound TaskScheduler::schedule(Time now)
+{
+    ScheduleRound round;
+    runTimers(round, now);
+    serveClaims(round, now);
+    const bool freed = m_pool.takeFreed(m_freed);
+    const std::vector<LaneIndex> fresh = m_queue.takeFresh();
+    if (freed || m_tryAll || m_scanLeft > 0 || !fresh.empty()) {
+        m_blocked.reset();
+        const Candidates candidates = collect(fresh, freed);
+        placeRanked(candidates, round, now);
+        const Candidates borrowers = placeFair(candidates, false, round, now);
+        placeFair(borrowers, true, round, now);
+        updateReservation(now);
+    }
+    for (TaskStop& stop : m_pendingStops)
+        round.stops.push_back(std::move(stop));
+    m_pendingStops.clear();
+    for (std::string& note : m_notes)
+        round.notes.push_back(std::move(note));
+    m_notes.clear();
+    round.more = m_tryAll || m_scanLeft > 0;
+    return round;
+}
+
+void TaskScheduler::runTimers(ScheduleRound& round, Time now)
+{
+    applyHealth(m_health.poll(now));
+    while (!m_paused.empty() && m_paused.top().first <= now) {
+        m_pool.setPaused(m_paused.top().second, false);
+        m_paused.pop();
+    }
+    for (const JobSerial serial : m_queue.takeOverdue(now)) {
+        Job& job = *m_bySerial.at(serial);
+        job.front = true;
+        enqueue(job);
+    }
+    if (std::vector<TeamIndex> teams = std::exchange(m_teamsToRetry, {}); m_anyQuotaBlocked && !teams.empty()) {
+        m_anyQuotaBlocked = false;
+        std::sort(teams.begin(), teams.end());
+        for (LaneIndex i = 0; i < m_queue.lanes().size(); ++i) {
+            const Lane& lane = m_queue.lanes()[i];
+            if (!lane.quotaBlocked)
+                continue;
+            if (std::binary_search(teams.begin(), teams.end(), lane.key.team))
+                m_queue.unpark(i);
+            else
+                m_anyQuotaBlocked = true;
+        }
+    }
+    if (m_planner.isActive() && !m_queue.contains(m_planner.job())) {
+        m_planner.end(m_pool, now);
+        m_tryAll = true;
+    }
+    m_tryAll = m_planner.advance(m_pool, m_queue.jobs() > 1, now) || m_tryAll;
+    if (m_queue.jobs() > 0 && now - m_reclaimedAt >= reclaimInterval) {
+        m_reclaimedAt = now;
+        m_tryAll = std::exchange(m_sizesFell, false) || m_tryAll;
+        reclaim(round, now);
+        reclaimForReservation(round);
+    }
+}
+
+/** Starts work whose room has become free, and gives up claims that can't be served. */
+void TaskScheduler::serveClaims(ScheduleRound& round, Time now)
+{
+    std::map<WorkerIndex, Resources> earlier; // Room that earlier claims on the same worker wait for.
+    for (std::size_t i = 0; i < m_claims.size();) {
+        const Claim claim = m_claims[i];
+        const auto found = m_bySerial.find(claim.job);
+        Job* job = found == m_bySerial.end() || found->second->isOver() ? nullptr : found->second;
+        const WorkerState& worker = m_pool.workers()[claim.worker];
+        const bool fits = worker.isEligible() && claim.size.fitsIn(worker.info.capacity - worker.reserved - earlier[claim.worker]);
+        const bool hopeless = !worker.known || !worker.usable || worker.leaving || worker.out
+            || now - claim.madeAt >= claimTimeout;
+        if (job && !fits && !hopeless) {
+            earlier[claim.worker] += claim.size;
+            ++i;
+            continue;
+        }
+        m_claims.erase(m_claims.begin() + static_cast<std::ptrdiff_t>(i));
+        m_pool.dropClaim(claim.worker, claim.size);
+        --m_queuedTasks;
+        if (!job)
+            continue;
+        requeueTask(*job, claim.index);
+        if (fits)
+            start(*job, claim.index, claim.worker, claim.size, "room of stopped work", round, now);
+    }
+}
+
+bool TaskScheduler::isBefore(const Candidate& a, const Candidate& b)
+{
+    return std::tie(a.rank, a.team, a.since, a.lane) < std::tie(b.rank, b.team, b.since, b.lane);
+}
+
+/** Lanes to try: new ones, and those that the freed room may fit. */
+TaskScheduler::Candidates TaskScheduler::collect(const std::vector<LaneIndex>& fresh, bool freed)
+{
+    Candidates found;
+    const std::vector<Lane>& lanes = m_queue.lanes();
+    const auto add = [&](LaneIndex i) {
+        const Lane& lane = lanes[i];
+        const bool ranked = lane.key.rank != QueueRank::Fair;
+        found.push_back({ lane.key.rank, ranked ? 0 : lane.key.team, lane.headSince, i });
+    };
+    if (!freed && !m_tryAll && m_scanLeft == 0) {
+        for (const LaneIndex i : fresh) {
+            if (lanes[i].live && !lanes[i].parked)
+                add(i);
+        }
+    } else {
+        m_freedMax = {};
+        for (const WorkerIndex worker : m_freed)
+            m_freedMax = maxOf(m_freedMax, m_pool.workers()[worker].room(true));
+        const bool all = m_tryAll || m_scanLeft > 0;
+        if (freed || m_tryAll)
+            m_scanLeft = lanes.size();
+        m_tryAll = false;
+        const std::size_t count = std::min(m_scanLeft, lanesPerRound);
+        for (std::size_t n = 0; n < count; ++n) {
+            const std::size_t i = (m_scanFrom + n) % lanes.size();
+            if (lanes[i].live && (!lanes[i].parked || (!lanes[i].quotaBlocked && (all || mayFitFreed(lanes[i])))))
+                add(static_cast<LaneIndex>(i));
+        }
+        m_scanLeft -= count;
+        m_scanFrom = lanes.empty() ? 0 : (m_scanFrom + count) % lanes.size();
+    }
+    std::sort(found.begin(), found.end(), isBefore);
+    return found;
+}
+
+bool TaskScheduler::mayFitFreed(const Lane& lane) const
+{
+    const Resources size = startSize(lane);
+    if (!size.fitsIn(m_freedMax))
+        return false;
+    return m_freed.size() > 8 || std::any_of(m_freed.begin(), m_freed.end(), [&](WorkerIndex worker) {
+        return size.fitsIn(m_pool.workers()[worker].room(true));
+    });
+}
+
+/** Urgent work first, then what has waited too long, each in order of arrival. */
+void TaskScheduler::placeRanked(const Candidates& candidates, ScheduleRound& round, Time now)
+{
+    for (const Candidate& candidate : candidates) {
+        if (candidate.rank == QueueRank::Fair)
+            return;
+        while (round.starts.size() < startsPerRound
+            && tryLane(candidate.lane, true, round, now) == TryResult::Placed) { }
+        m_tryAll = m_tryAll || round.starts.size() >= startsPerRound;
+    }
+}
+
+/** Serves the teams by their shares: the one with the least usage for its weight is next.
+ * @return Lanes that could start only with borrowed quota. */
+TaskScheduler::Candidates TaskScheduler::placeFair(
+    const Candidates& candidates, bool mayBorrow, ScheduleRound& round, Time now)
+{
+    Candidates borrowers;
+    if (candidates.empty() || candidates.back().rank != QueueRank::Fair)
+        return borrowers;
+    struct Turn {
+        double share = 0;
+        std::size_t next = 0; ///< Candidate to try.
+        bool operator>(const Turn& other) const { return std::tie(share, next) > std::tie(other.share, other.next); }
+    };
+    std::priority_queue<Turn, std::vector<Turn>, std::greater<>> turns;
+    const auto shareOf = [&](std::size_t i) { return m_quota.share(candidates[i].team, m_pool.totalCapacity()); };
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].rank == QueueRank::Fair && (i == 0 || candidates[i].team != candidates[i - 1].team
+                || candidates[i - 1].rank != QueueRank::Fair))
+            turns.push({ shareOf(i), i });
+    }
+    while (!turns.empty()) {
+        const std::size_t i = turns.top().next;
+        turns.pop();
+        if (round.starts.size() >= startsPerRound) {
+            m_tryAll = true;
+            return borrowers;
+        }
+        const TryResult result = tryLane(candidates[i].lane, mayBorrow, round, now);
+        if (result == TryResult::NeedsBorrowing)
+            borrowers.push_back(candidates[i]);
+        const std::size_t next = result == TryResult::Placed ? i : i + 1;
+        if (next < candidates.size() && candidates[next].team == candidates[i].team)
+            turns.push({ shareOf(i), next });
+    }
+    return borrowers;
+}
+
+/** Starts one task, or one gang, of a lane. */
+TaskScheduler::TryResult TaskScheduler::tryLane(LaneIndex index, bool mayBorrow, ScheduleRound& round, Time now)
+{
+    const JobSerial serial = m_queue.head(index);
+    if (serial == 0)
+        return TryResult::Blocked;
+    Lane& lane = m_queue.lanes()[index];
+    Job& job = *m_bySerial.at(serial);
+    const Resources size = startSize(lane);
+    const Resources need = job.isGang() ? times(size, static_cast<std::int64_t>(job.queued.size())) : size;
+    const QuotaVerdict verdict = m_quota.check(job.team, need, job.mayBeStopped());
+    if (verdict == QuotaVerdict::Denied) {
+        lane.quotaBlocked = true;
+        m_anyQuotaBlocked = true;
+        return park(lane, {}, "the quota of the team is used up");
+    }
+    if (verdict == QuotaVerdict::Borrows && !mayBorrow)
+        return TryResult::NeedsBorrowing;
+    if (job.isGang())
+        return tryGang(lane, job, size, round, now);
+    return tryTask(lane, job, size, verdict == QuotaVerdict::Borrows, round, now);
+}
+
+TaskScheduler::TryResult TaskScheduler::tryGang(
+    Lane& lane, Job& job, const Resources& size, ScheduleRound& round, Time now)
+{
+    const GangNeed need { job.serial, size, static_cast<std::uint32_t>(job.queued.size()), job.policy.rackLimit,
+        job.since };
+    const bool reserved = m_planner.job() == job.serial;
+    const bool mayFit = reserved || times(size, need.count).fitsIn(m_pool.totalFree());
+    const auto shares = mayFit ? fitGang(need, m_pool, reserved) : std::nullopt;
+    if (!shares) {
+        noteBlocked(job, size);
+        return park(lane, size, "waits for room for the whole gang");
+    }
+    if (reserved) {
+        m_planner.end(m_pool, now);
+        m_tryAll = true;
+    }
+    const std::string reason = "gang of " + std::to_string(need.count) + " tasks on " + std::to_string(shares->size())
+        + " workers" + (reserved ? ", reserved" : "");
+    for (const GangShare& share : *shares) {
+        for (std::uint32_t i = 0; i < share.tasks; ++i)
+            start(job, job.queued.back(), share.worker, size, reason, round, now);
+    }
+    return TryResult::Placed;
+}
+
+TaskScheduler::TryResult TaskScheduler::tryTask(
+    Lane& lane, Job& job, const Resources& size, bool borrows, ScheduleRound& round, Time now)
+{
+    const std::size_t tries = job.hasFailures ? std::min(job.queued.size(), tasksToTry) : 1;
+    for (std::size_t n = 0; n < tries; ++n) {
+        const std::uint32_t index = job.queued[job.queued.size() - 1 - n];
+        const WorkerIndex worker = m_pool.place(queryFor(job, index, size));
+        if (worker == noWorker)
+            continue;
+        start(job, index, worker, size, borrows ? "best fit, borrowed quota" : "best fit", round, now);
+        return TryResult::Placed;
+    }
+    const bool reserved = m_planner.job() == job.serial;
+    if (m_planner.isHolding() && (reserved || (!job.hasFailures && endsBeforeReservation(job, now)))) {
+        if (const WorkerIndex worker = m_pool.placeOnHeld(size, m_planner.held()); worker != noWorker) {
+            const std::uint32_t index = job.queued.back();
+            if (reserved)
+                m_planner.end(m_pool, now);
+            m_tryAll = m_tryAll || reserved;
+            start(job, index, worker, size, reserved ? "reserved room" : "backfill before a gang", round, now);
+            return TryResult::Placed;
+        }
+    }
+    if (lane.key.rank == QueueRank::Urgent)
+        return preempt(lane, job, size, round, now);
+    if (lane.key.rank == QueueRank::Front)
+        noteBlocked(job, size);
+    return park(lane, size, "no worker has room");
+}
+
+/** Stops batch tasks for urgent work, or takes room held for a gang. */
+TaskScheduler::TryResult TaskScheduler::preempt(
+    Lane& lane, Job& job, const Resources& size, ScheduleRound& round, Time now)
+{
+    const std::uint32_t index = job.queued.back();
+    const PreemptionChoice choice = chooseVictims(m_pool, queryFor(job, index, size));
+    if (choice.worker == noWorker) {
+        noteBlocked(job, size);
+        return park(lane, size, "no worker has room, and no batch task can be stopped for it");
+    }
+    if (size.fitsIn(m_pool.workers()[choice.worker].room(true)))
+        start(job, index, choice.worker, size, "urgent, room held for a gang", round, now);
+    else
+        claim(job, index, choice, size, "stopped for urgent work", round, now);
+    return TryResult::Placed;
+}
+
+/** Stops the chosen tasks and keeps their room for a task. */
+void TaskScheduler::claim(Job& job, std::uint32_t index, const PreemptionChoice& choice, const Resources& size,
+    const std::string& why, ScheduleRound& round, Time now)
+{
+    for (const TaskKey& victim : choice.victims)
+        stopTask(victim, true, why, round);
+    m_pool.addClaim(choice.worker, size);
+    m_claims.push_back({ job.serial, index, choice.worker, size, now });
+    job.reason = "waits for the end of tasks that are being stopped";
+    takeFromQueue(job, index);
+    ++m_queuedTasks; // It still waits, but in no lane.
+}
+
+TaskScheduler::TryResult TaskScheduler::park(Lane& lane, const Resources& size, std::string reason)
+{
+    if (!m_pool.fitsUsable(size))
+        reason = m_pool.fitsKnown(size) ? "fits only workers that are not usable now" : "larger than any known worker";
+    if (lane.reason != reason)
+        lane.reason = std::move(reason);
+    lane.parked = true;
+    return TryResult::Blocked;
+}
+
+/** Notes the oldest work that needs the reservation. */
+void TaskScheduler::noteBlocked(const Job& job, const Resources& size)
+{
+    const std::uint32_t count = job.isGang() ? static_cast<std::uint32_t>(job.queued.size()) : 1;
+    if (!m_blocked || job.since < m_blocked->since)
+        m_blocked = GangNeed { job.serial, size, count, job.policy.rackLimit, job.since };
+}
+
+void TaskScheduler::updateReservation(Time now)
+{
+    if (!m_blocked || m_blocked->job == m_planner.job() || !m_pool.fitsUsable(m_blocked->size))
+        return;
+    if (m_planner.isActive() && m_planner.since() <= m_blocked->since)
+        return;
+    m_planner.begin(*m_blocked, m_pool, now);
+    m_tryAll = true;
+}
+
+/** Gives borrowed quota back: a team within its quota that has waited for half of reclaim_after gets the room of
+ * borrowing batch tasks. The other half is left for their checkpoints. */
+void TaskScheduler::reclaim(ScheduleRound& round, Time now)
+{
+    int left = reclaimsPerRound;
+    for (LaneIndex i = 0; i < m_queue.lanes().size() && left > 0; ++i) {
+        while (left > 0) {
+            const Lane& lane = m_queue.lanes()[i];
+            if (!lane.live || !lane.parked || lane.quotaBlocked || lane.key.gangTasks > 0
+                || now - lane.headSince < m_bundle.cell.reclaimAfter / 2)
+                break;
+            Job& job = *m_bySerial.at(m_queue.head(i));
+            const Resources size = startSize(lane);
+            if (!m_quota.hasQuota(job.team) || m_quota.check(job.team, size, true) != QuotaVerdict::Within)
+                break;
+            const PreemptionChoice choice = chooseBorrowers(m_pool, queryFor(job, job.queued.back(), size), m_quota);
+            if (choice.worker == noWorker)
+                break;
+            claim(job, job.queued.back(), choice, size, "borrowed quota is given back", round, now);
+            --left;
+        }
+    }
+}
+
+/** Gives borrowed quota back to a gang: borrowing tasks on the held workers are stopped. */
+void TaskScheduler::reclaimForReservation(ScheduleRound& round)
+{
+    const auto found = m_bySerial.find(m_planner.job());
+    if (!m_planner.isHolding() || found == m_bySerial.end() || !m_quota.hasQuota(found->second->team))
+        return;
+    for (const WorkerIndex worker : m_planner.held()) {
+        std::vector<TaskKey> victims;
+        for (const Reservation& task : m_pool.workers()[worker].tasks) {
+            if (task.stoppable && !task.stopping && m_quota.isBorrowing(task.team))
+                victims.push_back(task.key);
+        }
+        for (const TaskKey& victim : victims)
+            stopTask(victim, true, "borrowed quota is given back to a gang", round);
+    }
+}
+
+void TaskScheduler::start(Job& job, std::uint32_t index, WorkerIndex worker, const Resources& size, std::string reason,
+    ScheduleRound& round, Time now)
+{
+    takeFromQueue(job, index);
+    reserveTask(job, index, worker, size, now);
+    applyHealth(m_health.started(worker));
+    round.starts.push_back({ makeTaskId(job.spec.id, index), job.spec.id, index, m_pool.workers()[worker].info.id, size,
+        std::move(reason) });
+}
+
+void TaskScheduler::stopTask(const TaskKey& key, bool checkpoint, const std::string& why, ScheduleRound& round)
+{
+    Job& job = *m_bySerial.at(key.job);
+    Task& task = job.tasks[key.index];
+    task.stopping = true;
+    m_pool.markStopping(task.worker, key);
+    round.stops.push_back(
+        { makeTaskId(job.spec.id, key.index), m_pool.workers()[task.worker].info.id, checkpoint, why });
+}
+
+/** @return Size to reserve for the next start of a lane: the learned one, but never more than a worker holds. */
+Resources TaskScheduler::startSize(const Lane& lane) const
+{
+    return m_pool.clampToLargest(lane.usage->tracker.size(), lane.key.size);
+}
+
+PlaceQuery TaskScheduler::queryFor(const Job& job, std::uint32_t index, const Resources& size) const
+{
+    PlaceQuery query;
+    query.size = size;
+    const Task& task = job.tasks[index];
+    if (task.failedOn.size() < m_pool.countFitting(job.spec.size))
+        query.avoid = task.failedOn; // With no other worker left, it is tried again where it failed.
+    query.rackUse = &job.rackUse;
+    query.rackLimit = job.policy.rackLimit;
+    query.spread = job.isHold();
+    return query;
+}
+
+/** @return Whether a task that starts now is expected to end before the reservation needs its room. */
+bool TaskScheduler::endsBeforeReservation(const Job& job, Time now) const
+{
+    const Duration run = UsageModel::expectedRun(*job.usage, job.spec.runTime);
+    return !job.isHold() && run > Duration {} && m_planner.expectedStart() != timeUnknown
+        && now + run <= m_planner.expectedStart();
+}
+
+} // namespace sp
--- /dev/null
+++ b/tests/test_usage_model.cpp
@@ -0,0 +1,62 @@
+#include "doctest_main.h"
+
+#include "task_test_base.h"
+
+#include <rapidcheck.h>
+
+using namespace sp;
+using namespace sp::test;
+
+// Guards against growth that lags the reports: other work would be placed into room that is in use.
+TEST_CASE("sizes grow at once and shrink slowly")
+{
+    SizeTracker tracker({ 1000, 1000, 0 });
+    CHECK(tracker.report({ 4000, 500, 0 }, at(0)));
+    CHECK(tracker.size().coresMilli == 4000);
+    CHECK(tracker.size().memoryMb == 950);
+    tracker.report({ 100, 500, 0 }, at(1));
+    CHECK(tracker.size().coresMilli == 4000); // Not under the peak.
+    tracker.report({ 100, 500, 0 }, at(599));
+    CHECK(tracker.size().coresMilli == 4000);
+    tracker.report({ 100, 500, 0 }, at(1300)); // The peak is older than two periods.
+    CHECK(tracker.size().coresMilli == 4000 - 390);
+}
+
+// Guards against a size under the peak of the last 10 min, whatever order reports come in.
+TEST_CASE("the size is never under the peak of the last 10 min")
+{
+    CHECK(rc::check([](const std::vector<std::pair<std::uint8_t, std::uint16_t>>& reports) {
+        SizeTracker tracker({ 1000, 1000, 0 });
+        double now = 0;
+        std::vector<std::pair<double, std::int64_t>> seen;
+        for (const auto& [gap, usage] : reports) {
+            now += gap;
+            tracker.report({ usage, usage, 0 }, at(now));
+            seen.emplace_back(now, usage);
+            for (const auto& [when, amount] : seen)
+                RC_ASSERT(now - when >= 600 || tracker.size().memoryMb >= amount);
+        }
+    }));
+}
+
+// Guards against learned sizes without bound, and against shared entries that vanish under running work.
+TEST_CASE("entries are bounded and stay valid for their users")
+{
+    UsageModel model(100);
+    const UsageEntryPtr first = model.entry(jobSpec("j", "batch", { 1, 1, 0 }), at(0));
+    for (int i = 0; i < 1000; ++i)
+        model.entry(jobSpec("j", "batch", { i + 2, 1, 0 }), at(i + 1));
+    CHECK(model.entries() <= 100);
+    CHECK(first->tracker.size() == Resources { 1, 1, 0 });
+}
+
+// Guards against declared run times that are far off: the learned ones replace them.
+TEST_CASE("run times are learned")
+{
+    UsageModel model;
+    const UsageEntryPtr entry = model.entry(jobSpec("j", "batch", { 1, 1, 0 }), at(0));
+    CHECK(UsageModel::expectedRun(*entry, std::chrono::seconds(9)) == std::chrono::seconds(9));
+    for (int i = 0; i < 3; ++i)
+        UsageModel::finished(*entry, std::chrono::seconds(40));
+    CHECK(UsageModel::expectedRun(*entry, std::chrono::seconds(9)) == std::chrono::seconds(50));
+}
