Fix: a recovering owner starts nothing that may still run on a target that has not answered

Cause: after a claim, unfinished tasks and keyed requests that no report listed were started although a silent target could still run them. Change: recovered jobs are adopted once every worker has answered or the task lease has run out; a keyed request is refused while an instance has not answered, or while an earlier run under the key is reported.

--- a/src/job_recovery.cpp
+++ b/src/job_recovery.cpp
@@ -12,6 +12,9 @@
     constexpr std::chrono::seconds writeRetry { 1 };
     constexpr std::chrono::milliseconds readRetry { 500 };
     constexpr std::chrono::hours jobMemory { 24 }; ///< Ended jobs are kept this long for queries and repeated keys.
+    constexpr std::chrono::seconds recoveryLeaseMargin {
+        5
+    }; ///< A worker ends a task at most this late after its lease.
     constexpr std::size_t writesPerTick = 4; ///< Bounds the writes after an outage, so that the store is not flooded.
 
 } // namespace
@@ -101,14 +104,86 @@
         }
         shard.jobs[record->spec.id] = std::move(job);
         if (record->phase <= JobPhase::Running)
-            shard.scheduler.adopt(
-                record->spec, std::vector<std::uint32_t>(record->finished.begin(), record->finished.end()), now);
+            shard.recovering[record->spec.id];
     }
     shard.jobsLoaded = true;
     logInfo(
         LogPart::Place, "Shard " + shardId.value + " has read " + std::to_string(shard.jobs.size()) + " job records.");
     for (const TargetReported& report : std::exchange(shard.early, {}))
         applyReport(shardId, shard, report, now);
+    adoptRecovered(shardId, shard, now);
+}
+
+/** Whether no unheard worker can still run a task with the given lease. */
+bool JobService::isAccounted(
+    const ShardId& shardId, const Shard& shard, std::chrono::milliseconds lease, Time now) const
+{
+    if (now - shard.recoverySince > lease + recoveryLeaseMargin)
+        return true;
+    return std::all_of(m_context.hosts.begin(), m_context.hosts.end(), [&](const auto& entry) {
+        if (entry.second.kind != TargetKind::Worker || entry.second.dataCentre() != m_context.config.dataCentre
+            || shardOfTarget(entry.second, m_context.bundle->cell) != shardId)
+            return true;
+        const auto worker = shard.workers.find(entry.first);
+        return worker != shard.workers.end() && worker->second.answered;
+    });
+}
+
+/** Notes the end of a task whose job is not adopted yet. */
+void JobService::noteRecoveredEnd(Shard& shard, const FinishedTask& finished)
+{
+    std::uint32_t index = 0;
+    const JobId jobId = jobOfTask(finished.task, index);
+    const auto recovering = shard.recovering.find(jobId);
+    if (recovering == shard.recovering.end())
+        return;
+    if (finished.end == TaskEnd::Succeeded) {
+        shard.jobs[jobId].record.finished.insert(index);
+        shard.jobs[jobId].dirty = true;
+    } else {
+        recovering->second.insert(index);
+    }
+}
+
+/**
+ * Hands recovered jobs to the task scheduler once it is certain where each of their tasks runs. A task that no worker
+ * reports may still run on a worker that has not answered; starting it elsewhere would run it twice.
+ */
+void JobService::adoptRecovered(const ShardId& shardId, Shard& shard, Time now)
+{
+    for (auto it = shard.recovering.begin(); it != shard.recovering.end();) {
+        const auto& [jobId, failedIndices] = *it;
+        Job& job = shard.jobs[jobId];
+        const WorkloadPolicy* policy = m_context.workload(job.record.spec.workload);
+        std::set<std::uint32_t> open;
+        for (std::uint32_t i = 0; i < job.record.spec.tasks; ++i) {
+            const TaskId task = makeTaskId(jobId, i);
+            const bool runs = std::any_of(shard.workers.begin(), shard.workers.end(),
+                [&](const auto& worker) { return worker.second.running.contains(task); });
+            if (!runs && !job.record.finished.contains(i))
+                open.insert(i);
+        }
+        if (!open.empty() && !isAccounted(shardId, shard, leaseOf(jobId), now)) {
+            ++it;
+            continue;
+        }
+        const bool mayHaveRun = policy && !policy->idempotent
+            && std::any_of(open.begin(), open.end(), [&](std::uint32_t i) { return job.record.started.contains(i); });
+        if (mayHaveRun) {
+            job.ended = true;
+            job.endedAt = now;
+            job.dirty = true;
+            job.record.phase = failedIndices.empty() ? JobPhase::Unknown : JobPhase::Failed;
+            job.record.reason = failedIndices.empty() ? "a started task has no known end" : "a task failed";
+            m_context.journal.note(
+                LogPart::Place, jobId.value, std::string("ended as ") + jobPhaseName(job.record.phase) + ".", now);
+        } else {
+            shard.scheduler.adopt(job.record.spec,
+                std::vector<std::uint32_t>(job.record.finished.begin(), job.record.finished.end()), now);
+        }
+        it = shard.recovering.erase(it);
+    }
+    collectFinished(shardId, shard, now);
 }
 
 /** Whether the records are read, so that jobs may be accepted. @param shard Shard. @return True if so. */
@@ -179,8 +254,7 @@
         std::erase_if(m_waiters, [&](const Waiter& waiter) {
             if (shardOfJob(waiter.job) != change.shard)
                 return false;
-            m_context.refuse(waiter.route, waiter.id, ErrorKind::AnswerLost,
-                "the hold on shard " + change.shard.value + " was lost");
+            answerStatus(waiter.route, waiter.id, change.shard, waiter.job, ErrorKind::Ok);
             return true;
         });
     }
--- a/src/job_service.cpp
+++ b/src/job_service.cpp
@@ -281,6 +281,9 @@
             answer.status = JobStatus { it->second.record.phase, it->second.record.spec.tasks, 0,
                 static_cast<std::uint32_t>(it->second.record.finished.size()), 0, it->second.record.reason,
                 it->second.record.result };
+        else if (shard.recovering.contains(job))
+            answer.status
+                = JobStatus { JobPhase::Queued, it->second.record.spec.tasks, 0, 0, 0, "the shard is recovering", {} };
         else
             answer.status = shard.scheduler.status(job);
     }
@@ -340,6 +343,10 @@
         m_context.refuse(command.route, command.id, ErrorKind::BadRequest, "only a hold can be released");
         return;
     }
+    if (shard.recovering.contains(command.job)) {
+        m_context.refuse(command.route, command.id, ErrorKind::NoOwner, "the shard is recovering");
+        return;
+    }
     m_context.journal.note(LogPart::Place, command.job.value, release ? "is released." : "is cancelled.", now);
     const auto stops
         = release ? shard.scheduler.releaseHold(command.job, now) : shard.scheduler.cancel(command.job, now);
--- a/src/job_service.h
+++ b/src/job_service.h
@@ -74,6 +74,8 @@
         Time nextRead {};
         std::map<TargetId, Worker> workers;
         std::vector<TargetReported> early; ///< Reports that came before the job records were read.
+        std::map<JobId, std::set<std::uint32_t>>
+            recovering; ///< Jobs read from the store and not yet adopted, with the indices reported as failed.
         std::map<TaskId, ActiveTask> active;
         std::map<JobId, Job> jobs;
     };
@@ -106,6 +108,9 @@
     void saveJobs(const ShardId& shardId, Shard& shard, Time now);
     void writeRecord(const ShardId& shardId, const JobId& job, Time now);
     void loadJobs(const ShardId& shardId, Shard& shard, Time now);
+    void adoptRecovered(const ShardId& shardId, Shard& shard, Time now);
+    bool isAccounted(const ShardId& shardId, const Shard& shard, std::chrono::milliseconds lease, Time now) const;
+    void noteRecoveredEnd(Shard& shard, const FinishedTask& finished);
     void jobsRead(const ShardId& shardId, const StoreReply& reply, Time now);
     void applyReport(const ShardId& shardId, Shard& shard, const TargetReported& report, Time now);
     void reconcileActive(Shard& shard, const TargetReported& report, const std::set<TaskId>& running, Time now);
--- a/src/job_tasks.cpp
+++ b/src/job_tasks.cpp
@@ -191,13 +191,15 @@
     static constexpr const char* names[] { "succeeded", "failed", "stopped", "is gone with its worker" };
     std::uint32_t index = 0;
     const JobId jobId = jobOfTask(task, index);
+    const auto active = shard.active.find(task);
+    const TargetId worker = active == shard.active.end() ? TargetId() : active->second.start.worker;
     shard.active.erase(task);
     if (auto it = shard.jobs.find(jobId); it != shard.jobs.end() && end == TaskEnd::Succeeded) {
         it->second.record.finished.insert(index);
         it->second.dirty = true;
     }
     m_context.journal.note(LogPart::Place, task.value, std::string(names[static_cast<std::size_t>(end)]) + ".", now);
-    shard.scheduler.taskEnded(task, end, result, now);
+    shard.scheduler.taskEnded(task, end, result, now, worker);
 }
 
 std::chrono::milliseconds JobService::leaseOf(const JobId& jobId) const
@@ -265,6 +267,8 @@
         if (active != shard.active.end() && active->second.start.worker == report.target
             && active->second.state != StartState::Recording && !running.contains(finished.task))
             endTask(shard, finished.task, finished.end, finished.result, now);
+        else if (active == shard.active.end())
+            noteRecoveredEnd(shard, finished);
     }
     worker.running = running;
     reconcileActive(shard, report, running, now);
@@ -346,6 +350,8 @@
         }
         for (const auto& [job, tasks] : toRecord)
             recordStarts(id, job, tasks, now);
+        if (!shard.recovering.empty())
+            adoptRecovered(id, shard, now);
         expireLeases(id, shard, now);
         stopOrphans(id, shard, now);
         saveJobs(id, shard, now);
--- a/src/prompt_service.cpp
+++ b/src/prompt_service.cpp
@@ -14,6 +14,7 @@
         1
     }; ///< A forwarded request's answer may arrive this long after its deadline.
     constexpr std::chrono::minutes keyMemory { 10 };
+    constexpr std::chrono::minutes longestDeadline { 10 }; ///< Upper limit of a workload's deadline in a bundle.
     constexpr std::size_t recordedBodyLimit = 65536; ///< Bytes of an answer that a store record keeps.
 
     std::string clientKey(const CallerId& caller, const std::string& clientId)
@@ -141,7 +142,18 @@
             return;
         // Targets see the key's hash as the id, so that a later owner learns from reports which keys still run.
         runId = RequestId("k-" + entry.keyName);
-        m_keys[entry.keyName] = { entry.digest, runId, std::nullopt, now + keyMemory };
+        const Shard& shard = m_shards[request.shard];
+        if (shard.pool.targetOf(runId)) {
+            m_context.refuse(
+                request.route, request.id, ErrorKind::AnswerLost, "an earlier run under this key still runs");
+            return;
+        }
+        if (now - shard.gainedAt < longestDeadline && !allAnswered(request.shard)) {
+            m_context.refuse(
+                request.route, request.id, ErrorKind::NoOwner, "an instance that may run this key has not answered");
+            return;
+        }
+        m_keys[entry.keyName] = { entry.digest, request.shard, runId, std::nullopt, now + keyMemory };
     } else if (m_requests.contains(runId)) {
         m_context.refuse(request.route, request.id, ErrorKind::Conflict, "the request id is in use");
         return;
--- a/src/prompt_service.h
+++ b/src/prompt_service.h
@@ -60,6 +60,7 @@
     /** What is known of an idempotency key. */
     struct KeyEntry {
         std::string digest;
+        ShardId shard;
         RequestId runId;
         std::optional<AnswerMessage> answer; ///< Set once known.
         Time expires {};
@@ -87,6 +88,7 @@
     void finish(const RequestId& runId, AnswerMessage answer, Time now);
     void retryOrRefuse(const RequestId& runId, CallEnd how, Time now);
     void writeOutcome(const Request& request, const AnswerMessage& answer);
+    bool allAnswered(const ShardId& shardId) const;
     void dispatch(const ShardId& shardId, Time now);
     void rememberFinished(const RequestId& runId, Time now);
     std::string runsKey(const Request& request) const;
--- a/src/prompt_targets.cpp
+++ b/src/prompt_targets.cpp
@@ -1,7 +1,8 @@
 /** @file prompt_targets.cpp The part of PromptService that follows instances, holds and time. */
-#include "log_func.h"
 #include "prompt_service.h"
 
+#include <algorithm>
+
 namespace sp {
 
 namespace {
@@ -94,6 +95,7 @@
     if (gained) {
         shard = Shard();
         shard.owned = true;
+        shard.gainedAt = now;
         shard.pool.applyPolicy(*m_context.bundle);
         for (const auto& [id, entry] : m_context.hosts) {
             if (entry.dataCentre() == m_context.config.dataCentre && entry.kind == TargetKind::Instance
@@ -107,6 +109,10 @@
         }
         // Lost calls of the earlier hold show up in the reports as foreign requests if they still run.
         m_lost.clear();
+        std::erase_if(m_keys, [&](const auto& entry) {
+            return !entry.second.answer && !m_requests.contains(entry.second.runId)
+                && entry.second.shard == change.shard;
+        });
     } else if (lost && shard.owned) {
         shard.owned = false;
         for (const auto& [id, entry] : m_context.hosts) {
@@ -220,6 +226,19 @@
         shard.pool.checkInvariants();
 }
 
+/** Whether every instance of a shard in the host list has answered under the present term. */
+bool PromptService::allAnswered(const ShardId& shardId) const
+{
+    const auto shard = m_shards.find(shardId);
+    return shard != m_shards.end()
+        && std::all_of(m_context.hosts.begin(), m_context.hosts.end(), [&](const auto& entry) {
+               return entry.second.kind != TargetKind::Instance
+                   || entry.second.dataCentre() != m_context.config.dataCentre
+                   || shardOfTarget(entry.second, m_context.bundle->cell) != shardId
+                   || shard->second.answered.contains(entry.first);
+           });
+}
+
 void PromptService::dispatch(const ShardId& shardId, Time now)
 {
     for (const SlotDecision& decision : m_shards[shardId].pool.dispatch(now))
--- a/tests/core_fixture.h
+++ b/tests/core_fixture.h
@@ -33,8 +33,10 @@
     bool drained = false;
     SchedulerCore core;
 
-    explicit CoreFixture(Incarnation incarnation = Incarnation(1), std::vector<PeerConfig> peers = {}, const CoreFixture* predecessor = nullptr)
-        : core(config(incarnation, std::move(peers)), [this](Action&& action) { std::visit([this](auto& concrete) { act(concrete); }, action); })
+    explicit CoreFixture(Incarnation incarnation = Incarnation(1), std::vector<PeerConfig> peers = {},
+        const CoreFixture* predecessor = nullptr)
+        : core(config(incarnation, std::move(peers)),
+            [this](Action&& action) { std::visit([this](auto& concrete) { act(concrete); }, action); })
     {
         if (predecessor) {
             store = predecessor->store;
@@ -54,8 +56,10 @@
     {
         for (int i = 1; i <= 3; ++i) {
             const std::string n = std::to_string(i);
-            putHost("i" + n, R"({"kind":"instance","data_centre":"dc1","address":"127.0.0.1:1","service":"shop","slots":2,"connections":8,"state":"live"})");
-            putHost("w" + n, R"({"kind":"worker","data_centre":"dc1","rack":"r","address":"127.0.0.1:1","cores_milli":4000,"memory_mb":4000,"accelerators":0,"state":"live"})");
+            putHost("i" + n,
+                R"({"kind":"instance","data_centre":"dc1","address":"127.0.0.1:1","service":"shop","slots":2,"connections":8,"state":"live"})");
+            putHost("w" + n,
+                R"({"kind":"worker","data_centre":"dc1","rack":"r","address":"127.0.0.1:1","cores_milli":4000,"memory_mb":4000,"accelerators":0,"state":"live"})");
         }
         putBundle(1);
     }
@@ -83,10 +87,11 @@
 
     void putBundle(std::uint64_t version)
     {
-        const std::string text = "[bundle]\nversion = " + std::to_string(version) + "\nauthor = tester\n[cell]\ndata_centres = dc1\nslot_shards = 1\n"
-                                                                                     "[workload check]\nclass = prompt\nservice = shop\n"
-                                                                                     "[workload charge]\nclass = prompt\nservice = shop\nidempotent = false\n"
-                                                                                     "[workload report]\nclass = batch\n[workload keep]\nclass = hold\n";
+        const std::string text = "[bundle]\nversion = " + std::to_string(version)
+            + "\nauthor = tester\n[cell]\ndata_centres = dc1\nslot_shards = 1\n"
+              "[workload check]\nclass = prompt\nservice = shop\n"
+              "[workload charge]\nclass = prompt\nservice = shop\nidempotent = false\n"
+              "[workload report]\nclass = batch\n[workload keep]\nclass = hold\n";
         put(bundleKey(BundleVersion(version)), text);
         BundleHead head;
         head.version = BundleVersion(version);
@@ -139,7 +144,8 @@
         }
     }
 
-    void submitPrompt(const std::string& id, const std::string& workload, const std::string& payload, const std::string& key = {})
+    void submitPrompt(
+        const std::string& id, const std::string& workload, const std::string& payload, const std::string& key = {})
     {
         PromptSubmitted request;
         request.id = RequestId(id);
@@ -247,10 +253,7 @@
         reply.revision = revision;
         pending.emplace_back(reply);
     }
-    template<typename T>
-    void act(const T&)
-    {
-    }
+    template <typename T> void act(const T&) { }
 
     bool holds(const StoreCompare& compare) const
     {
