--- a/src/prompt_service.cpp
+++ b/src/prompt_service.cpp
@@ -148,7 +148,7 @@
                 request.route, request.id, ErrorKind::AnswerLost, "an earlier run under this key still runs");
             return;
         }
-        if (now - shard.gainedAt < longestDeadline && !allAnswered(request.shard)) {
+        if (now - shard.gainedAt < longestDeadline && !shard.complete) {
             m_context.refuse(
                 request.route, request.id, ErrorKind::NoOwner, "an instance that may run this key has not answered");
             return;
--- a/src/prompt_service.h
+++ b/src/prompt_service.h
@@ -69,6 +69,8 @@
     struct Shard {
         SlotPool pool;
         bool owned = false;
+        bool complete = false; ///< Every instance has answered since the shard was gained.
+        Time gainedAt {};
         std::map<TargetId, Time>
             answered; ///< Targets that have answered under the present term, with the report's time.
         std::map<TargetId, std::set<RequestId>> foreign; ///< Requests of an earlier owner that still run.
--- a/src/prompt_targets.cpp
+++ b/src/prompt_targets.cpp
@@ -53,6 +53,7 @@
         lost = m_lost.erase(lost);
     }
     shard.answered[report.target] = report.sentAt;
+    shard.complete = shard.complete || allAnswered(report.shard);
     shard.pool.setUsable(report.target, true);
     dispatch(report.shard, now);
 }
