Change: log lines carry the time of the event and no source position of the log thread

Cause: every line named log.cpp and the time at which the log thread wrote it. Change: glog's prefix is off; the line has an RFC 3339 time taken at hand-over, a level letter and the part's prefix. Conclusion: lines of several processes can be ordered by their time.

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,5 +1,6 @@
 #include "log_func.h"
 #include "ring.h"
+#include "time_type.h"
 
 #include <array>
 #include <atomic>
@@ -31,17 +32,13 @@
 
     void write(const Line& line)
     {
-        switch (line.level) {
-        case LogLevel::Info:
-            LOG(INFO) << logPrefix(line.part) << ' ' << line.text;
-            break;
-        case LogLevel::Warning:
-            LOG(WARNING) << logPrefix(line.part) << ' ' << line.text;
-            break;
-        case LogLevel::Error:
-            LOG(ERROR) << logPrefix(line.part) << ' ' << line.text;
-            break;
-        }
+        static constexpr std::array<google::LogSeverity, 3> severities { google::GLOG_INFO, google::GLOG_WARNING,
+            google::GLOG_ERROR };
+        static constexpr std::array<char, 3> letters { 'I', 'W', 'E' };
+        const auto level = static_cast<std::size_t>(line.level);
+        // glog's own prefix would name this file and the time of writing on every line.
+        google::LogMessage(__FILE__, __LINE__, severities[level]).stream()
+            << wallText(line.at) << ' ' << letters[level] << ' ' << logPrefix(line.part) << ' ' << line.text;
     }
 
     void writeWaiting()
@@ -82,6 +79,7 @@
 void startLog(const char* program)
 {
     FLAGS_logtostderr = true;
+    FLAGS_log_prefix = false;
     google::InitGoogleLogging(program);
     running = true;
     writer = std::thread(writerLoop);
@@ -107,7 +105,7 @@
 {
     if (!running.load(std::memory_order_relaxed))
         return;
-    if (!logRing().tryPush(Line { part, level, std::move(text) }))
+    if (!logRing().tryPush(Line { part, level, wallNow(), std::move(text) }))
         linesDropped.fetch_add(1, std::memory_order_relaxed);
 }
 
--- a/src/time_type.h
+++ b/src/time_type.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace sp {
 
@@ -22,6 +23,12 @@
 using Time = BootClock::time_point; ///< A point on the host's own clock; never comparable between hosts.
 using Duration = std::chrono::nanoseconds;
 
+/** Reads the calendar clock, for log lines and records only; no decision rests on it. @return Present time. */
+std::chrono::system_clock::time_point wallNow();
+
+/** Text of a calendar time. @param time Time. @return RFC 3339 in UTC with microseconds. */
+std::string wallText(std::chrono::system_clock::time_point time);
+
 /**
  * Whole milliseconds of a duration, rounded down.
  * @param duration Duration.
