--- a/src/core_context.h
+++ b/src/core_context.h
@@ -28,6 +28,7 @@
     std::vector<PeerConfig> peers; ///< All other schedulers of the cell.
     bool targetsCheckTerms = true;
     std::uint64_t seed = 1; ///< Seed of jitter.
+    FaultSwitches faults; ///< For mutation tests only.
 };
 
 /**
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -127,9 +127,11 @@
 }
 
 /** Takes the shards that a peer announces in a heartbeat. A higher term for a shard held here ends the own hold. Must
- * be called before promiseFor, since a promise covers only announced shards. @param peer Peer. @param loads Announced
- * shards with their terms. @param now Present time. */
-void Ownership::peerHolds(const HostId& peer, const std::vector<ShardLoad>& loads, Time now)
+ * be called before promiseFor, since a promise covers only announced shards. @param peer Peer. @param incarnation Its
+ * incarnation. @param sentAt Sending time on its clock. @param loads Announced shards with their terms.
+ * @param now Present time. */
+void Ownership::peerHolds(
+    const HostId& peer, Incarnation incarnation, Time sentAt, const std::vector<ShardLoad>& loads, Time now)
 {
     if (peer == m_config.self)
         return;
@@ -148,10 +150,45 @@
         else
             known.mayPromise = false;
     }
+    if (known.incarnation == incarnation && known.announcedAt && sentAt > *known.announcedAt)
+        dropPromises(peer, covered, now);
+    if (known.incarnation != incarnation || !known.announcedAt || sentAt > *known.announcedAt)
+        known.announcedAt = sentAt;
+    known.incarnation = incarnation;
     if (!known.mayPromise)
         return;
-    for (Shard* shard : covered)
+    for (Shard* shard : covered) {
         shard->promisedUntil = std::max<Time>(shard->promisedUntil, now + m_config.promise);
+        shard->promisedTo = peer;
+    }
+}
+
+/** Ends the promises for shards that a peer held and announces no longer, so that a shard that was handed over can be
+ * claimed at once. Safe because a scheduler announces each shard for as long as it holds it at any level. */
+void Ownership::dropPromises(const HostId& peer, const std::vector<Shard*>& covered, Time now)
+{
+    for (auto& [id, shard] : m_shards) {
+        if (shard.promisedTo != peer || std::find(covered.begin(), covered.end(), &shard) != covered.end())
+            continue;
+        shard.promisedTo = {};
+        shard.promisedUntil = std::min(shard.promisedUntil, now);
+    }
+}
+
+/** Completes the loads of a heartbeat: peers promise only what it announces, and take a shard that it leaves out for
+ * given up. @param loads Loads; held shards that are missing or shown at a level below are added as fenced. */
+void Ownership::addHeld(std::vector<ShardLoad>& loads) const
+{
+    for (const auto& [id, shard] : m_shards) {
+        const auto it = std::find_if(
+            loads.begin(), loads.end(), [&, name = id](const ShardLoad& load) { return load.shard == name; });
+        if (!isHeld(shard))
+            continue;
+        if (it == loads.end())
+            loads.push_back({ id, shard.term, HoldLevel::Fenced, {}, 0 });
+        else if (it->level == HoldLevel::None || it->level == HoldLevel::Claiming || it->level == HoldLevel::Lost)
+            it->level = HoldLevel::Fenced;
+    }
 }
 
 /** Whether this scheduler can promise not to claim a shard that a peer announces under a term. */
@@ -335,11 +372,7 @@
     const auto next = m_chart.next(shard.state, *index);
     if (!next || *next == shard.state)
         return;
-    const auto shown = [this](ChartState state) {
-        const HoldLevel level = levelOf(state);
-        return level == HoldLevel::Fenced && !m_config.targetsCheckTerms ? HoldLevel::None : level;
-    };
-    m_changes.push_back({ id, shown(shard.state), shown(*next), shard.term, reason });
+    m_changes.push_back({ id, levelOf(shard.state), levelOf(*next), shard.term, reason });
     shard.state = *next;
 }
 
@@ -349,9 +382,14 @@
     if (!isHeld(shard))
         return;
     const bool leased = isLeased(shard, now);
-    if (!leased && !isPromised(shard, now))
+    const bool isProtected = leased || isPromised(shard, now);
+    if (!isProtected && m_config.targetsCheckTerms) {
         raise(id, shard, "unprotected", "session lease and promises have run out");
-    else if (!shard.recovered)
+    } else if (!isProtected) {
+        // Without the targets' term check nothing may start, and the shard is claimed anew once that is possible.
+        shard.releaseValue = shard.keyValue;
+        lose(id, shard, "released", "session lease and promises have run out");
+    } else if (!shard.recovered)
         raise(id, shard, "protected_unrecovered", leased ? "session lease is fresh" : "all peers have promised");
     else if (leased)
         raise(id, shard, "lease_fresh", "recovered, session lease is fresh");
--- a/src/ownership.h
+++ b/src/ownership.h
@@ -58,7 +58,9 @@
     bool storeReplied(const StoreReply& reply, Time now);
     void ownerKeyChanged(const ShardId& shard, const std::optional<std::string>& value, Revision revision, Time now);
     void peerSeen(const HostId& peer, Incarnation incarnation, bool draining, Time now, bool ready = true);
-    void peerHolds(const HostId& peer, const std::vector<ShardLoad>& loads, Time now);
+    void peerHolds(
+        const HostId& peer, Incarnation incarnation, Time sentAt, const std::vector<ShardLoad>& loads, Time now);
+    void addHeld(std::vector<ShardLoad>& loads) const;
     std::chrono::milliseconds promiseFor(const HostId& peer, Time now);
     void promiseReceived(const HostId& peer, Time sentAt, std::chrono::milliseconds promise, Time now);
     void recovered(const ShardId& shard, Time now);
@@ -97,6 +99,7 @@
         OwnerKey owner;
         Time freeSince {}; ///< Since when the owner key is known to be absent.
         Time promisedUntil {}; ///< No claim before this time.
+        HostId promisedTo; ///< Peer that announced the shard when the promise was made.
         Step step = Step::Idle;
         StoreTicket ticket; ///< Call in flight, 0 if none.
         bool isUnresolved = false; ///< A claim or renewal got no answer and must be read back.
@@ -110,6 +113,7 @@
         bool draining = false;
         bool ready = false;
         std::optional<Time> holdsAt; ///< When peerHolds was last called.
+        std::optional<Time> announcedAt; ///< Sending time of the newest announcement, on the peer's clock.
         bool mayPromise = false; ///< Whether all shards it holds could be promised then.
         std::optional<Time> promiseSentAt;
         Time promiseUntil {};
@@ -129,6 +133,7 @@
     void noteOwner(
         const ShardId& id, Shard& shard, const std::optional<std::string>& value, Revision revision, Time now);
     bool isOwn(const OwnerKey& owner) const;
+    void dropPromises(const HostId& peer, const std::vector<Shard*>& covered, Time now);
     bool canPromise(const ShardId& id, Shard& shard, Term announced, Time now);
     HoldLevel levelOf(ChartState state) const;
 
--- a/src/ownership_balance.cpp
+++ b/src/ownership_balance.cpp
@@ -52,7 +52,7 @@
         from += m_config.takeoverWait;
     const std::size_t others = ownCount() - (shard.step == Step::ReadTerm ? 1 : 0);
     if (others >= share(now))
-        from += m_config.surplusWait;
+        from = std::max(from, shard.promisedUntil) + m_config.surplusWait;
     return now >= from;
 }
 
@@ -79,7 +79,7 @@
         shard.releaseValue = shard.keyValue;
         shard.nextTry = now;
         // The receiver needs some time to claim; without this pause the own claim above the share could come first.
-        shard.promisedUntil = std::max<Time>(shard.promisedUntil, now + 2 * m_config.surplusWait);
+        shard.promisedUntil = std::max<Time>(shard.promisedUntil, now + m_config.surplusWait);
         lose(id, shard, "released", "handed over for balance");
         return;
     }
--- a/src/prompt_targets.cpp
+++ b/src/prompt_targets.cpp
@@ -88,7 +88,7 @@
 {
     if (kindOfShard(change.shard) != TargetKind::Instance)
         return;
-    const bool gained = change.to == HoldLevel::Recovering;
+    const bool gained = change.from == HoldLevel::Claiming && change.to == HoldLevel::Recovering;
     const bool lost = change.to == HoldLevel::None || change.to == HoldLevel::Lost;
     Shard& shard = m_shards[change.shard];
     if (gained) {
--- a/src/scheduler_core.cpp
+++ b/src/scheduler_core.cpp
@@ -11,6 +11,7 @@
 
     constexpr const char* livePrefix = "/sp/live/";
     constexpr const char* ownerPrefix = "/sp/live/owner/";
+    constexpr const char* memberPrefix = "/sp/live/member/";
     constexpr std::chrono::seconds recoveryPatience { 2 }; ///< A target that has not answered by then stays unusable.
     constexpr std::chrono::milliseconds periodicEvery { 10 };
 
@@ -24,6 +25,8 @@
             if (peer.dataCentre == config.dataCentre)
                 ownership.peers.push_back(peer.host);
         }
+        ownership.seed = config.seed + 2;
+        ownership.faults = config.faults;
         return ownership;
     }
 
@@ -102,7 +105,9 @@
     HeartbeatAckMessage ack;
     ack.sentAt = event.heartbeat.sentAt;
     if (sameDataCentre) {
-        m_context.ownership->peerSeen(event.peer, event.incarnation, event.heartbeat.draining, now);
+        const HeartbeatMessage& heartbeat = event.heartbeat;
+        m_context.ownership->peerHolds(event.peer, event.incarnation, heartbeat.sentAt, heartbeat.loads, now);
+        m_context.ownership->peerSeen(event.peer, event.incarnation, heartbeat.draining, now, heartbeat.ready);
         ack.promise = m_context.ownership->promiseFor(event.peer, now);
     }
     if (m_context.bundle) {
@@ -211,6 +216,13 @@
             m_bundles.headChanged(*value, now);
         return;
     }
+    if (key.starts_with(memberPrefix) && value) {
+        const auto member = nlohmann::json::parse(*value, nullptr, false);
+        if (member.is_object() && member.contains("data_centre")
+            && member["data_centre"] == m_context.config.dataCentre.value)
+            m_context.ownership->addPeer(HostId(key.substr(std::string_view(memberPrefix).size())));
+        return;
+    }
     if (!key.starts_with(ownerPrefix))
         return;
     const ShardId shard(key.substr(std::string_view(ownerPrefix).size()));
@@ -336,6 +348,7 @@
         heartbeat.loads = m_prompts.loads(now);
         const auto jobLoads = m_jobs.loads(now);
         heartbeat.loads.insert(heartbeat.loads.end(), jobLoads.begin(), jobLoads.end());
+        m_context.ownership->addHeld(heartbeat.loads);
     }
     for (const HostId& peer : due)
         m_context.emit(SendHeartbeat { peer, heartbeat });
@@ -378,10 +391,11 @@
 
 void SchedulerCore::checkDrained(Time now)
 {
-    (void)now;
-    if (!m_context.draining || m_drained || m_prompts.inFlight() > 0 || m_jobs.inFlight() > 0)
+    if (!m_context.draining || m_drained || m_prompts.inFlight() > 0 || m_jobs.inFlight() > 0
+        || !m_context.ownership->isReleased(now))
         return;
     m_drained = true;
+    m_context.ownership->endSession(now);
     m_context.emit(Drained {});
 }
 
--- a/src/soak/node.h
+++ b/src/soak/node.h
@@ -29,6 +29,8 @@
     virtual void handle(const Event& event, Time now, const ActionSink& sink) = 0;
     virtual HoldLevel level(const ShardId& shard, Time now) const = 0;
     virtual Term term(const ShardId& shard) const = 0;
+    /** Throws std::logic_error if the node's own books don't agree. */
+    virtual void checkInvariants() const { }
 };
 
 std::unique_ptr<Node> makeOwnershipNode(const NodeSettings& settings, std::vector<ShardId> shards);
--- a/src/soak/ownership_node.cpp
+++ b/src/soak/ownership_node.cpp
@@ -89,11 +89,7 @@
             message.dataCentre = m_settings.dataCentre;
             message.ready = !m_isDraining;
             message.draining = m_isDraining;
-            for (const ShardId& shard : m_shards) {
-                const HoldLevel level = m_ownership.level(shard, now);
-                if (level != HoldLevel::None && level != HoldLevel::Claiming && level != HoldLevel::Lost)
-                    message.loads.push_back({ shard, m_ownership.term(shard), level, {}, 0 });
-            }
+            m_ownership.addHeld(message.loads);
             return message;
         }
         void heartbeatReceived(const PeerHeartbeat& event, Time now)
@@ -101,8 +97,8 @@
             const auto& message = event.heartbeat;
             m_membership.heartbeatReceived(event.peer, event.incarnation, message, now);
             if (message.dataCentre == m_settings.dataCentre) {
+                m_ownership.peerHolds(event.peer, event.incarnation, message.sentAt, message.loads, now);
                 m_ownership.peerSeen(event.peer, event.incarnation, message.draining, now, message.ready);
-                m_ownership.peerHolds(event.peer, message.loads, now);
             }
             const bool isNear = message.dataCentre == m_settings.dataCentre;
             const auto promise = isNear ? m_ownership.promiseFor(event.peer, now) : std::chrono::milliseconds(0);
