--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -27,7 +27,7 @@
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - start;
     for (const std::string& figure : result.figures)
         std::printf("%s\n", figure.c_str());
-    if (result.failed) {
+    if (result.failed || options.traceLines > 1000) {
         for (const std::string& line : result.trace)
             std::printf("%s\n", line.c_str());
         std::printf("FAILED seed %llu step %llu: %s\n", static_cast<unsigned long long>(options.seed),
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -351,11 +351,16 @@
             }
             m_checks.shardHolders(shard, firm);
             const auto [it, added] = m_unownedSince.try_emplace(shard, Time());
-            if (!isStore && it->second == Time())
+            if (!isStore && it->second == Time()) {
+                m_time.trace(shard.value + " has no owner at level store");
                 it->second = m_time.now();
+            }
             if (isStore && it->second != Time()) {
+                const Duration took = m_time.now() - it->second;
+                m_time.trace(shard.value + " is served again after " + std::to_string(toMs(took)) + " ms"
+                    + (m_isCalm ? ", calm" : ""));
                 if (m_isCalm)
-                    m_takeovers.push_back(m_time.now() - it->second);
+                    m_takeovers.push_back(took);
                 it->second = Time();
             }
         }
