--- a/src/standin/audit.cpp
+++ b/src/standin/audit.cpp
@@ -15,13 +15,21 @@
     return &m_runs[id];
 }
 
+void Audit::note(Run& run)
+{
+    const auto now = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now().time_since_epoch()).count();
+    if (run.starts++ == 0)
+        run.firstStartUs = now;
+    run.lastStartUs = now;
+}
+
 void Audit::began(Run& run, const std::string& id, const std::string& target, bool isDouble)
 {
     if (isDouble) {
         ++counters.doubleRuns;
         violation("double run of " + id + " on " + target + ", before on " + run.lastTarget);
     }
-    ++run.starts;
+    note(run);
     ++run.running;
     run.lastTarget = target;
 }
@@ -72,7 +80,7 @@
     if (Run* run = find(id))
         began(*run, id, target, run->running > 0 || run->succeeded > 0 || (once && run->starts > 0));
     if (!uid.empty() && m_uids.size() < maxRuns)
-        ++m_uids[uid].starts;
+        note(m_uids[uid]);
 }
 
 /** A task ended. @param id Task id. @param uid Id at the load generator. @param end How it ended. */
@@ -130,13 +138,14 @@
         { "violations", m_violations } };
 }
 
-/** Starts and successes of each uid. @param prefix Only uids that begin with it. @return Object of pairs by uid. */
+/** Runs of each uid. @param prefix Only uids that begin with it. @return Object by uid: starts, successes, first and
+ * last start in microseconds of CLOCK_BOOTTIME. */
 nlohmann::json Audit::runsJson(const std::string& prefix) const
 {
     nlohmann::json runs = nlohmann::json::object();
     for (const auto& [uid, run] : m_uids) {
         if (uid.starts_with(prefix))
-            runs[uid] = { run.starts, run.succeeded };
+            runs[uid] = { run.starts, run.succeeded, run.firstStartUs, run.lastStartUs };
     }
     return runs;
 }
--- a/src/standin/audit.h
+++ b/src/standin/audit.h
@@ -1,6 +1,8 @@
 /** @file audit.h Record of what the targets ran, independent of the scheduler, with every breach of an invariant. */
 #pragma once
 
+#include "time_type.h"
+
 #include <cstdint>
 #include <deque>
 #include <nlohmann/json.hpp>
@@ -53,10 +55,13 @@
         std::uint32_t starts = 0;
         std::uint32_t running = 0;
         std::uint32_t succeeded = 0;
+        std::int64_t firstStartUs = 0; ///< CLOCK_BOOTTIME, to compare with a load generator on the same host.
+        std::int64_t lastStartUs = 0;
         std::string lastTarget;
     };
 
     Run* find(const std::string& id);
+    static void note(Run& run);
     void began(Run& run, const std::string& id, const std::string& target, bool isDouble);
     void ended(const std::string& id, RunEnd end);
     void violation(std::string text);
--- a/src/standin/http_server.cpp
+++ b/src/standin/http_server.cpp
@@ -432,18 +432,15 @@
     }
 }
 
-int HttpServer::waitTime() const
+Duration HttpServer::waitTime() const
 {
-    constexpr int longest = 200;
-    MHD_UNSIGNED_LONG_LONG wanted = longest;
+    MHD_UNSIGNED_LONG_LONG wanted = 0;
     if (MHD_get_timeout(m_daemon, &wanted) == MHD_YES && wanted == 0)
-        return 0;
-    int wait = longest;
-    if (!m_timers.empty()) {
-        const auto left = m_timers.begin()->first - BootClock::now();
-        wait = std::clamp(static_cast<int>(toMs(left + std::chrono::microseconds(999))), 0, longest);
-    }
-    return wait;
+        return Duration(0);
+    constexpr Duration longest = std::chrono::milliseconds(200);
+    if (m_timers.empty())
+        return longest;
+    return std::clamp(m_timers.begin()->first - BootClock::now(), Duration(0), longest);
 }
 
 /** Suspended connections are not polled by libmicrohttpd, so those that the client has closed are found here. */
@@ -470,7 +467,9 @@
     Time nextSweep = BootClock::now();
     while (goOn()) {
         std::array<epoll_event, 64> events {};
-        const int count = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), waitTime());
+        // epoll_wait() would round run times and latencies up to whole milliseconds.
+        const timespec wait { 0, static_cast<long>(waitTime().count()) };
+        const int count = epoll_pwait2(m_epoll, events.data(), static_cast<int>(events.size()), &wait, nullptr);
         for (int i = 0; i < count; ++i) {
             if (events[static_cast<std::size_t>(i)].data.fd >= 0)
                 accept(events[static_cast<std::size_t>(i)].data.fd);
--- a/src/standin/http_server.h
+++ b/src/standin/http_server.h
@@ -120,7 +120,7 @@
     void accept(ListenerId listener);
     void dispatch(const ExchangePtr& exchange);
     void runTimers();
-    int waitTime() const;
+    Duration waitTime() const;
     void closeDeadExchanges();
     std::shared_ptr<HttpConnection> opened(int fd);
 
--- a/src/standin/instance.cpp
+++ b/src/standin/instance.cpp
@@ -53,12 +53,15 @@
     m_audit.requestStarted(request, payload.uid, m_id);
     if (m_running.size() > m_slots)
         m_audit.overcommitted(m_id, std::to_string(m_running.size()) + " requests");
-    const nlohmann::json answer { { "instance", m_id }, { "request_id", request },
+    nlohmann::json answer { { "instance", m_id }, { "request_id", request },
         { "digest", payloadDigest(exchange->body) }, { "bytes", exchange->body.size() }, { "uid", payload.uid },
-        { "run_us", std::chrono::duration_cast<std::chrono::microseconds>(time).count() },
         { "filler", fillerText(payload.uid, payload.answerBytes) } };
-    later(time, [this, request, exchange, text = answer.dump(), fails = payload.fails] {
-        finish(request, exchange, text, fails);
+    const Time started = BootClock::now();
+    answer["start_us"] = std::chrono::duration_cast<std::chrono::microseconds>(started.time_since_epoch()).count();
+    later(time, [this, request, exchange, started, answer = std::move(answer), fails = payload.fails]() mutable {
+        // The true run time, with the lateness of the timer, so that a caller can tell it from the system's delay.
+        answer["run_us"] = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - started).count();
+        finish(request, exchange, answer.dump(), fails);
     });
 }
 
