Fix: missing time of a hold's begin, which kept main from compiling

Cause: a merge kept the uses of PromptService::Shard::gainedAt and lost the field. Change: the field is declared again. The tree builds and the demo runs.

--- a/src/prompt_service.h
+++ b/src/prompt_service.h
@@ -69,6 +69,7 @@
     struct Shard {
         SlotPool pool;
         bool owned = false;
+        Time gainedAt {}; ///< When the present hold began.
         std::map<TargetId, Time>
             answered; ///< Targets that have answered under the present term, with the report's time.
         std::map<TargetId, std::set<RequestId>> foreign; ///< Requests of an earlier owner that still run.
