--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 STEPS ?= 100000
 
-.PHONY: help deps build check demo bench soak format lint proto sanitize fuzz
+.PHONY: help deps build check demo live bench soak format lint proto sanitize fuzz
 
 help: ## lists the commands
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/'
@@ -30,3 +30,9 @@
 
 soak: build ## randomised faults against the core, SEED=n STEPS=n
 	@$(BUILD)/sp-soak --seed $(SEED) --steps $(STEPS)
+
+demo: build ## a small cell on loopback with all classes of work, checked, about 25 s
+	@examples/demo/run
+
+live: build ## faults of processes, store and targets against a live cell, about 3 min, SEED=n
+	@python3 tests/live_faults.py --build $(BUILD) --seed $(SEED)
--- a/examples/cell.sh
+++ b/examples/cell.sh
@@ -142,6 +142,23 @@
     done
 }
 
+# wait_owners DATA_CENTRES SECONDS: waits until every shard of the bundle has an owner that is done recovering.
+wait_owners() {
+    local dc entry found tries=$(($2 * 10))
+    for dc in $1; do
+        while :; do
+            found=0
+            for entry in "${hosts[@]}"; do
+                [[ $entry == *:$dc:* ]] && found=$((found + $(curl -s -m 2 "http://${admin_of[${entry%%:*}]}/status" \
+                    | grep -o '"level":"store"' | wc -l)))
+            done
+            ((found >= ${shards_per_data_centre:-3})) && break
+            ((tries-- > 0)) || fail "data centre $dc has only $found owned shards"
+            sleep 0.1
+        done
+    done
+}
+
 # pid_list: name=pid,... of schedulers and gateways, for sp-load.
 pid_list() {
     local name list=
