--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -52,6 +52,7 @@
     readPlatformNow(m_stats.before);
     m_counts = m_stats.before;
     m_start = BootClock::now();
+    m_stats.startMs = toMs(m_start.time_since_epoch());
     LoadPlan plan(m_spec, m_options.uidPrefix);
     auto next = plan.next();
     const Time settled = m_start + m_spec.duration() + m_spec.settle;
--- a/src/load/load_stats.cpp
+++ b/src/load/load_stats.cpp
@@ -89,6 +89,7 @@
 {
     Summary out;
     out.emplace_back("elapsed_s", fixed(elapsedSeconds));
+    out.emplace_back("start_boottime_ms", std::to_string(startMs));
     for (const auto& [workClass, stats] : classes)
         addClass(out, workClassName(workClass), stats);
     out.emplace_back("caller_bytes_sent", std::to_string(bytesSent));
--- a/src/load/load_stats.h
+++ b/src/load/load_stats.h
@@ -64,6 +64,7 @@
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
     double elapsedSeconds = 0;
+    std::int64_t startMs = 0; ///< Start on CLOCK_BOOTTIME, to compare with other records of the host.
     std::vector<std::string> faults; ///< The first wrong answers, for people.
 
     void addFault(std::string text);
