Fix: size the reserve for short work by the mean run time

Cause: short demand was counted with the median of the learned run time, which is 0.69 of the mean for exponential run times; the reserve came out at 54 of 200 slots where short work used 59, so long work took slots that short work needed. Change: demand counts the service's mean run time of short work.

--- a/src/slot_pool.cpp
+++ b/src/slot_pool.cpp
@@ -160,7 +160,7 @@
         return refuse(work.id, ErrorKind::DeadlineUnmeetable, "no instance of the service");
     const Estimate expected = estimate(workload, work, now);
     if (expected.length == WorkLength::Short)
-        service.shortDemand.add(expected.typical, now);
+        service.shortDemand.add(service.meanRunTime(WorkLength::Short), now); // The median would be too low.
     if (expected.least > work.deadline - now && ++workload.tooLong % probeEvery != 0)
         return refuse(work.id, ErrorKind::DeadlineUnmeetable, "learned run time " + inMs(expected.least));
     if (mayStartNow(service, expected.length, now))
