Fix: expect the wait of a flow from the measured speed of its virtual time

Cause: the wait of a new request was expected from the queue as it stood. Flows that came later and went first were not counted, so a heavy caller's requests were admitted for 200 ms and waited until they expired after 2 s. Change: each node of the fair queue measures the speed of its virtual time while it is busy; the expected wait is the distance in virtual time divided by that speed.

--- a/src/fair_queue.cpp
+++ b/src/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include "fair_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <stdexcept>
 #include <tuple>
@@ -16,6 +17,29 @@
     /** Idle nodes removed when a node is made: more than one, so that their number falls. */
     constexpr int removedPerNewNode = 2;
 
+    /** Time constant of the measured service rate: long enough to smooth it, short against the waits allowed. */
+    constexpr double rateSeconds = 0.1;
+
+    /** Busy time that must have been seen before the measured rate is used. */
+    constexpr double rateMinSeconds = 0.02;
+
+    /** Speed of a node's virtual time while it is busy. It counts what competing flows take, also those to come. */
+    struct ServiceRate {
+        double advance = 0; ///< Decayed advance of virtual time in nanoseconds.
+        double seconds = 0; ///< Decayed busy time.
+        Time updatedAt {};
+
+        /** Counts an advance since the last call, or since the node became busy. */
+        void note(double amount, Time now)
+        {
+            const double elapsed = std::max(0.0, std::chrono::duration<double>(now - updatedAt).count());
+            const double keep = std::exp(-elapsed / rateSeconds);
+            advance = advance * keep + amount;
+            seconds = seconds * keep + elapsed;
+            updatedAt = std::max(updatedAt, now);
+        }
+    };
+
 } // namespace
 
 /** Node of the tree: the root, a workload, a team or a caller (leaf). */
@@ -41,11 +65,13 @@
     std::set<std::pair<Order, Node*>> idle; ///< Other children.
     List items; ///< Leaf: waiting requests.
     std::size_t count = 0; ///< Leaf: number of waiting requests.
+    double backlog = 0; ///< Cost of the requests waiting below, in nanoseconds.
+    ServiceRate rate; ///< Of virtualTime.
     bool isActive = false;
 
     Node& child(const std::string& key, double childWeight);
-    void activate(Time deadline);
-    void deactivate();
+    void activate(Time deadline, Time now);
+    void deactivate(Time now);
     void collect();
     Time firstDeadline(const std::vector<Item>& slab) const;
 };
@@ -80,8 +106,10 @@
 }
 
 /** Enters the parent's active children. */
-void FairQueue::Node::activate(Time deadline)
+void FairQueue::Node::activate(Time deadline, Time now)
 {
+    if (parent->active.empty())
+        parent->rate.updatedAt = now;
     parent->idle.erase({ order, this });
     order.deadline = deadline;
     order.start = std::max(order.start, parent->virtualTime);
@@ -91,7 +119,7 @@
 }
 
 /** Leaves the parent's active children. After the last one the parent's time catches up: a busy period has ended. */
-void FairQueue::Node::deactivate()
+void FairQueue::Node::deactivate(Time now)
 {
     parent->active.erase({ order, this });
     parent->idle.insert({ order, this });
@@ -100,6 +128,7 @@
     if (!parent->active.empty())
         return;
     parent->activeWeight = 0;
+    parent->rate.note(0, now);
     parent->virtualTime = std::max(parent->virtualTime, parent->idle.rbegin()->first.start);
 }
 
@@ -126,9 +155,11 @@
  * @param weights Weights of its workload and team, for nodes that are made now.
  * @param cost Expected slot time.
  * @param serial Number that the caller never uses again.
+ * @param now Present time.
  * @return Place of the request.
  */
-QueueHandle FairQueue::push(const PromptWork& work, const FlowWeights& weights, Duration cost, std::uint64_t serial)
+QueueHandle FairQueue::push(
+    const PromptWork& work, const FlowWeights& weights, Duration cost, std::uint64_t serial, Time now)
 {
     QueueHandle handle = static_cast<QueueHandle>(m_items.size());
     if (m_free.empty()) {
@@ -146,25 +177,30 @@
     append(leaf.items, handle);
     ++leaf.count;
     ++m_size;
+    addBacklog(&leaf, static_cast<double>(item.cost.count()));
     if (leaf.count == 1)
-        reposition(&leaf);
+        reposition(&leaf, now);
     return handle;
 }
 
-/** Removes a request without service. @param handle Its place. @return Request. */
-PromptWork FairQueue::erase(QueueHandle handle)
+/** Removes a request without service. @param handle Its place. @param now Present time. @return Request. */
+PromptWork FairQueue::erase(QueueHandle handle, Time now)
 {
     if (m_items[handle].overdue)
         unlink(m_overdue, handle);
     else
-        removeFromLeaf(handle);
+        removeFromLeaf(handle, now);
     return freeItem(handle);
 }
 
-/** Moves a request to the list of those that go first; it is no longer charged to its caller. @param handle Place. */
-void FairQueue::markOverdue(QueueHandle handle)
+/**
+ * Moves a request to the list of those that go first; it is no longer charged to its caller.
+ * @param handle Its place.
+ * @param now Present time.
+ */
+void FairQueue::markOverdue(QueueHandle handle, Time now)
 {
-    removeFromLeaf(handle);
+    removeFromLeaf(handle, now);
     m_items[handle].overdue = true;
     append(m_overdue, handle);
 }
@@ -178,18 +214,21 @@
     return node->items.first;
 }
 
-/** Removes a request for service and charges its flow. @param handle Its place. @return Request. */
-PromptWork FairQueue::take(QueueHandle handle)
+/** Removes a request for service and charges its flow. @param handle Its place. @param now Present time. @return
+ * Request. */
+PromptWork FairQueue::take(QueueHandle handle, Time now)
 {
     Node* node = m_items[handle].leaf;
     const auto cost = static_cast<double>(m_items[handle].cost.count());
     for (; node && node->parent; node = node->parent) {
-        node->parent->virtualTime = std::max(node->parent->virtualTime, node->order.start);
+        const double before = node->parent->virtualTime;
+        node->parent->virtualTime = std::max(before, node->order.start);
+        node->parent->rate.note(node->parent->virtualTime - before, now);
         node->parent->active.erase({ node->order, node });
         node->order.start += cost / node->weight;
         node->parent->active.insert({ node->order, node });
     }
-    return erase(handle);
+    return erase(handle, now);
 }
 
 /** Whether a place still holds the request it was given to. @param handle Place. @param serial Number given to push. */
@@ -198,6 +237,37 @@
     return handle < m_items.size() && m_items[handle].serial == serial;
 }
 
+/**
+ * Wait of a new request by the measured speed of virtual time: at each level the distance to the request's place. The
+ * present length of the queue alone says too little, since flows that come later may go first.
+ * @param work New request.
+ * @param now Present time.
+ * @return Wait; nothing if the queue has not been busy for long enough.
+ */
+std::optional<Duration> FairQueue::measuredWait(const PromptWork& work, Time now) const
+{
+    const std::string* const names[] = { &work.workload.value, &work.team.value, &work.caller.value };
+    std::optional<double> seconds;
+    const Node* parent = m_root.get();
+    for (std::size_t level = 0; parent && level < 3; ++level) {
+        const auto it = parent->children.find(*names[level]);
+        const Node* node = it == parent->children.end() ? nullptr : it->second.get();
+        ServiceRate rate = parent->rate;
+        rate.note(0, parent->active.empty() ? rate.updatedAt : now);
+        if (rate.seconds >= rateMinSeconds && !parent->active.empty()) {
+            // Only the caller's own requests are all ahead of a new one; of a team or workload it is the debt alone.
+            const double debt = node ? std::max(0.0, node->order.start - parent->virtualTime) : 0;
+            const double own = node && level == 2 ? node->backlog : 0;
+            const double speed = std::max(rate.advance, 1.0) / rate.seconds;
+            seconds = std::max(seconds.value_or(0), (debt + own) / speed);
+        }
+        parent = node;
+    }
+    if (!seconds)
+        return std::nullopt;
+    return Duration(static_cast<Duration::rep>(std::min(*seconds, 86400.0) * 1e9));
+}
+
 /**
  * Estimate of the requests served before a new one: by its flow's own length and share, and never more than all.
  * @param work New request.
@@ -319,6 +389,13 @@
     return node;
 }
 
+/** Adds to the backlog of a leaf and the nodes above it. */
+void FairQueue::addBacklog(Node* leaf, double cost)
+{
+    for (Node* node = leaf; node; node = node->parent)
+        node->backlog += cost;
+}
+
 void FairQueue::append(List& list, QueueHandle handle)
 {
     Item& item = m_items[handle];
@@ -336,15 +413,16 @@
 }
 
 /** Takes a request out of its caller's list; only if it was the first do nodes move. */
-void FairQueue::removeFromLeaf(QueueHandle handle)
+void FairQueue::removeFromLeaf(QueueHandle handle, Time now)
 {
     Node* leaf = m_items[handle].leaf;
     const bool first = leaf->items.first == handle;
     unlink(leaf->items, handle);
     --leaf->count;
+    addBacklog(leaf, -static_cast<double>(m_items[handle].cost.count()));
     m_items[handle].leaf = nullptr;
     if (first)
-        reposition(leaf);
+        reposition(leaf, now);
 }
 
 /** Empties a place for the next request. */
@@ -359,15 +437,15 @@
 }
 
 /** Moves a node and those above it to their places after the node's first request has changed. */
-void FairQueue::reposition(Node* node)
+void FairQueue::reposition(Node* node, Time now)
 {
     for (; node->parent; node = node->parent) {
         const bool waiting = node->items.first != noHandle || !node->active.empty();
         const Time deadline = node->firstDeadline(m_items);
         if (node->isActive && !waiting) {
-            node->deactivate();
+            node->deactivate(now);
         } else if (waiting && !node->isActive) {
-            node->activate(deadline);
+            node->activate(deadline, now);
         } else if (waiting && node->order.deadline != deadline) {
             node->parent->active.erase({ node->order, node });
             node->order.deadline = deadline;
--- a/src/fair_queue.h
+++ b/src/fair_queue.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,14 +59,15 @@
     FairQueue(const FairQueue&) = delete;
     FairQueue& operator=(const FairQueue&) = delete;
 
-    QueueHandle push(const PromptWork& work, const FlowWeights& weights, Duration cost, std::uint64_t serial);
-    PromptWork erase(QueueHandle handle);
-    void markOverdue(QueueHandle handle);
+    QueueHandle push(const PromptWork& work, const FlowWeights& weights, Duration cost, std::uint64_t serial, Time now);
+    PromptWork erase(QueueHandle handle, Time now);
+    void markOverdue(QueueHandle handle, Time now);
     QueueHandle next() const;
     QueueHandle nextOverdue() const { return m_overdue.first; }
-    PromptWork take(QueueHandle handle);
+    PromptWork take(QueueHandle handle, Time now);
     const Item& item(QueueHandle handle) const { return m_items[handle]; }
     bool holds(QueueHandle handle, std::uint64_t serial) const;
+    std::optional<Duration> measuredWait(const PromptWork& work, Time now) const;
     double itemsAhead(const PromptWork& work, const FlowWeights& weights) const;
     double share(const PromptWork& work, const FlowWeights& weights) const;
     std::size_t queuedOfCaller(const PromptWork& work) const;
@@ -83,9 +85,10 @@
     const Node* findLeaf(const PromptWork& work) const;
     void append(List& list, QueueHandle handle);
     void unlink(List& list, QueueHandle handle);
-    void removeFromLeaf(QueueHandle handle);
+    void removeFromLeaf(QueueHandle handle, Time now);
     PromptWork freeItem(QueueHandle handle);
-    void reposition(Node* node);
+    static void addBacklog(Node* leaf, double cost);
+    void reposition(Node* node, Time now);
 
     std::unique_ptr<Node> m_root;
     std::vector<Item> m_items;
--- a/src/slot_pool.cpp
+++ b/src/slot_pool.cpp
@@ -167,7 +167,7 @@
         return start(work, workload, expected.length, now, "least busy");
     if (auto refusal = refuseToQueue(workload, work, expected, now))
         return *refusal;
-    enqueue(workload, work, expected);
+    enqueue(workload, work, expected, now);
     return { SlotDecision::Kind::Queue, work.id, {}, ErrorKind::Ok, "no free slot" };
 }
 
@@ -214,7 +214,7 @@
     const auto it = m_queued.find(id);
     if (it == m_queued.end())
         return false;
-    leaveQueue(it->second, false);
+    leaveQueue(it->second, false, m_lastDispatch);
     return true;
 }
 
@@ -227,6 +227,7 @@
 {
     std::vector<SlotDecision> decisions = std::move(m_pending);
     m_pending.clear();
+    m_lastDispatch = std::max(m_lastDispatch, now);
     if (now >= m_nextRecognition)
         recogniseLong(now);
     runTimers(now, decisions);
@@ -321,10 +322,12 @@
 Duration SlotPool::expectedWait(const Workload& workload, const PromptWork& work, WorkLength length, Time now) const
 {
     const SlotService& service = *workload.service;
-    const double ahead = service.queue(length).itemsAhead(work, weightsOf(workload, work));
+    const FairQueue& queue = service.queue(length);
     const Duration interval = service.releaseInterval(length, m_reserve, now);
-    const double wait = (ahead + 1) * static_cast<double>(interval.count());
     const Duration bound = workload.policy.maxWait + interval;
+    if (const auto measured = queue.measuredWait(work, now))
+        return std::min(*measured + interval, bound);
+    const double wait = (queue.itemsAhead(work, weightsOf(workload, work)) + 1) * static_cast<double>(interval.count());
     return wait < static_cast<double>(bound.count()) ? Duration(static_cast<Duration::rep>(wait)) : bound;
 }
 
@@ -355,10 +358,10 @@
     return static_cast<double>(queue.queuedOfCaller(work)) < share * openPart * workload.policy.queueLimit;
 }
 
-void SlotPool::enqueue(Workload& workload, const PromptWork& work, const Estimate& expected)
+void SlotPool::enqueue(Workload& workload, const PromptWork& work, const Estimate& expected, Time now)
 {
     FairQueue& queue = workload.service->queue(expected.length);
-    const QueueHandle handle = queue.push(work, weightsOf(workload, work), expected.typical, ++m_serial);
+    const QueueHandle handle = queue.push(work, weightsOf(workload, work), expected.typical, ++m_serial, now);
     const Queued place { workload.service, expected.length, handle };
     m_queued[work.id] = place;
     ++workload.queued;
@@ -368,10 +371,10 @@
 }
 
 /** Takes a request out of its queue. */
-PromptWork SlotPool::leaveQueue(const Queued& place, bool served)
+PromptWork SlotPool::leaveQueue(const Queued& place, bool served, Time now)
 {
     FairQueue& queue = place.service->queue(place.length);
-    PromptWork work = served ? queue.take(place.handle) : queue.erase(place.handle);
+    PromptWork work = served ? queue.take(place.handle, now) : queue.erase(place.handle, now);
     Workload& workload = m_workloads.at(work.workload);
     --workload.queued;
     workload.queueAllowed = std::max<std::size_t>(workload.policy.queueLimit, workload.queued);
@@ -405,10 +408,10 @@
         if (!queue.holds(timer.place.handle, timer.serial))
             continue;
         if (timer.expiry)
-            decisions.push_back(
-                refuse(leaveQueue(timer.place, false).id, ErrorKind::DeadlinePassed, "deadline passed in the queue"));
+            decisions.push_back(refuse(
+                leaveQueue(timer.place, false, now).id, ErrorKind::DeadlinePassed, "deadline passed in the queue"));
         else
-            queue.markOverdue(timer.place.handle);
+            queue.markOverdue(timer.place.handle, now);
     }
 }
 
@@ -437,7 +440,7 @@
         if (!place)
             return;
         const bool overdue = service.queue(place->length).item(place->handle).overdue;
-        const PromptWork work = leaveQueue(*place, true);
+        const PromptWork work = leaveQueue(*place, true, now);
         decisions.push_back(start(work, m_workloads.at(work.workload), place->length, now,
             overdue ? "waited for max_wait" : "slot became free"));
     }
--- a/src/slot_pool.h
+++ b/src/slot_pool.h
@@ -127,8 +127,8 @@
     std::optional<SlotDecision> refuseToQueue(
         const Workload& workload, const PromptWork& work, const Estimate& expected, Time now) const;
     bool callerHasRoom(const Workload& workload, const PromptWork& work, WorkLength length) const;
-    void enqueue(Workload& workload, const PromptWork& work, const Estimate& expected);
-    PromptWork leaveQueue(const Queued& place, bool served);
+    void enqueue(Workload& workload, const PromptWork& work, const Estimate& expected, Time now);
+    PromptWork leaveQueue(const Queued& place, bool served, Time now);
     void addTimer(const Timer& timer);
     void runTimers(Time now, std::vector<SlotDecision>& decisions);
     SlotDecision start(const PromptWork& work, Workload& workload, WorkLength length, Time now, const char* reason);
@@ -153,6 +153,7 @@
     std::vector<Timer> m_timers; ///< Heap, earliest first; holds void timers until they are due or compacted.
     std::vector<SlotDecision> m_pending; ///< Refusals that the next dispatch gives out.
     std::uint64_t m_serial = 0;
+    Time m_lastDispatch {}; ///< Time of cancellations, which come between two dispatches.
     Time m_nextRecognition = Time::max(); ///< Earliest time at which running short work can exceed its threshold.
 };
 
--- a/tests/test_slot_pool.cpp
+++ b/tests/test_slot_pool.cpp
@@ -194,17 +194,17 @@
     const FlowWeights heavy { 1, 3 };
     const FlowWeights light { 1, 1 };
     for (int i = 0; i < 400; ++i) {
-        queue.push(work("h", at(0s), 2s, "h" + std::to_string(i % 7), "heavy"), heavy, 10ms, 1);
-        queue.push(work("l", at(0s), 2s, "l", "light"), light, 10ms, 1);
+        queue.push(work("h", at(0s), 2s, "h" + std::to_string(i % 7), "heavy"), heavy, 10ms, 1, at(0s));
+        queue.push(work("l", at(0s), 2s, "l", "light"), light, 10ms, 1, at(0s));
     }
     int taken = 0;
     for (int i = 0; i < 400; ++i)
-        taken += queue.take(queue.next()).team == TeamId("heavy") ? 1 : 0;
+        taken += queue.take(queue.next(), at(0s)).team == TeamId("heavy") ? 1 : 0;
     CHECK(taken >= 299);
     CHECK(taken <= 301);
-    queue.push(work("new", at(0s), 2s, "new", "light"), light, 10ms, 1);
+    queue.push(work("new", at(0s), 2s, "new", "light"), light, 10ms, 1, at(0s));
     int position = 0;
-    while (queue.take(queue.next()).id != RequestId("new"))
+    while (queue.take(queue.next(), at(0s)).id != RequestId("new"))
         ++position;
     CHECK(position <= 8);
     queue.checkInvariants();
@@ -214,12 +214,12 @@
 TEST_CASE("ties go to the earlier deadline")
 {
     FairQueue queue;
-    queue.push(work("late", at(0s), 3s, "a"), {}, 10ms, 1);
-    queue.push(work("early", at(0s), 1s, "b"), {}, 10ms, 2);
-    queue.push(work("mid", at(0s), 2s, "c"), {}, 10ms, 3);
-    CHECK(queue.take(queue.next()).id == RequestId("early"));
-    CHECK(queue.take(queue.next()).id == RequestId("mid"));
-    CHECK(queue.take(queue.next()).id == RequestId("late"));
+    queue.push(work("late", at(0s), 3s, "a"), {}, 10ms, 1, at(0s));
+    queue.push(work("early", at(0s), 1s, "b"), {}, 10ms, 2, at(0s));
+    queue.push(work("mid", at(0s), 2s, "c"), {}, 10ms, 3, at(0s));
+    CHECK(queue.take(queue.next(), at(0s)).id == RequestId("early"));
+    CHECK(queue.take(queue.next(), at(0s)).id == RequestId("mid"));
+    CHECK(queue.take(queue.next(), at(0s)).id == RequestId("late"));
 }
 
 // Guards against memory that grows with each caller ever seen.
@@ -227,8 +227,8 @@
 {
     FairQueue queue;
     for (int i = 0; i < 100000; ++i) {
-        queue.push(work("r", at(0s), 2s, "c" + std::to_string(i)), {}, 10ms, 1);
-        queue.take(queue.next());
+        queue.push(work("r", at(0s), 2s, "c" + std::to_string(i)), {}, 10ms, 1, at(0s));
+        queue.take(queue.next(), at(0s));
     }
     CHECK(queue.nodes() < 2000);
     queue.checkInvariants();
@@ -247,14 +247,14 @@
                 const std::string caller = std::to_string(who % 5);
                 const std::string id = std::to_string(++serial);
                 waiting[serial] = queue.push(work(id, at(0s), 2s, caller, std::to_string(who % 3)),
-                    { 1, 1.0 + who % 3 }, std::chrono::milliseconds(1 + who), serial);
+                    { 1, 1.0 + who % 3 }, std::chrono::milliseconds(1 + who), serial, at(0s));
             } else if (what % 4 == 2 && !waiting.empty()) {
                 const auto it = std::next(waiting.begin(), who % waiting.size());
                 RC_ASSERT(queue.holds(it->second, it->first));
-                queue.erase(it->second);
+                queue.erase(it->second, at(0s));
                 waiting.erase(it);
             } else if (queue.next() != noHandle) {
-                const PromptWork taken = queue.take(queue.next());
+                const PromptWork taken = queue.take(queue.next(), at(0s));
                 const std::uint64_t number = std::stoull(taken.id.value);
                 RC_ASSERT(waiting.erase(number) == 1);
                 std::uint64_t& last = lastTaken[taken.caller.value + "/" + taken.team.value];
