Fix: decay the measured service rate by starts where starts are rare

Cause: with 60 starts a second a time constant of 0.1 s holds six samples, and a pause of the queue let the speed decay to nothing, so long work was refused. Change: one start takes off at most 1/64 of the measured rate, and a rate is used from eight starts on.

--- a/src/fair_queue.cpp
+++ b/src/fair_queue.cpp
@@ -20,24 +20,44 @@
     /** Time constant of the measured service rate: long enough to smooth it, short against the waits allowed. */
     constexpr double rateSeconds = 0.1;
 
-    /** Busy time that must have been seen before the measured rate is used. */
+    /** Largest decay for one start: with few starts a second, about the last 64 decide. */
+    constexpr double rateKeepMin = 1 - 1.0 / 64;
+
+    /** Busy time and starts that must have been seen before the measured rate is used. */
     constexpr double rateMinSeconds = 0.02;
+    constexpr double rateMinStarts = 8;
 
     /** Speed of a node's virtual time while it is busy. It counts what competing flows take, also those to come. */
     struct ServiceRate {
         double advance = 0; ///< Decayed advance of virtual time in nanoseconds.
         double seconds = 0; ///< Decayed busy time.
+        double starts = 0; ///< Decayed number of starts.
         Time updatedAt {};
 
-        /** Counts an advance since the last call, or since the node became busy. */
-        void note(double amount, Time now)
+        /** Counts a start that advances virtual time. */
+        void started(double amount, Time now)
         {
-            const double elapsed = std::max(0.0, std::chrono::duration<double>(now - updatedAt).count());
-            const double keep = std::exp(-elapsed / rateSeconds);
+            const double elapsed = elapsedAt(now);
+            const double keep = std::max(rateKeepMin, std::exp(-elapsed / rateSeconds));
             advance = advance * keep + amount;
             seconds = seconds * keep + elapsed;
+            starts = starts * keep + 1;
+            updatedAt = std::max(updatedAt, now);
+        }
+
+        /** Counts busy time since the last start, or since the node became busy. */
+        void waited(Time now)
+        {
+            seconds += elapsedAt(now);
             updatedAt = std::max(updatedAt, now);
         }
+
+        double elapsedAt(Time now) const
+        {
+            return std::max(0.0, std::chrono::duration<double>(now - updatedAt).count());
+        }
+
+        bool known() const { return seconds >= rateMinSeconds && starts >= rateMinStarts; }
     };
 
 } // namespace
@@ -128,7 +148,7 @@
     if (!parent->active.empty())
         return;
     parent->activeWeight = 0;
-    parent->rate.note(0, now);
+    parent->rate.waited(now);
     parent->virtualTime = std::max(parent->virtualTime, parent->idle.rbegin()->first.start);
 }
 
@@ -223,7 +243,7 @@
     for (; node && node->parent; node = node->parent) {
         const double before = node->parent->virtualTime;
         node->parent->virtualTime = std::max(before, node->order.start);
-        node->parent->rate.note(node->parent->virtualTime - before, now);
+        node->parent->rate.started(node->parent->virtualTime - before, now);
         node->parent->active.erase({ node->order, node });
         node->order.start += cost / node->weight;
         node->parent->active.insert({ node->order, node });
@@ -253,8 +273,8 @@
         const auto it = parent->children.find(*names[level]);
         const Node* node = it == parent->children.end() ? nullptr : it->second.get();
         ServiceRate rate = parent->rate;
-        rate.note(0, parent->active.empty() ? rate.updatedAt : now);
-        if (rate.seconds >= rateMinSeconds && !parent->active.empty()) {
+        rate.waited(now);
+        if (rate.known() && !parent->active.empty()) {
             // Only the caller's own requests are all ahead of a new one; of a team or workload it is the debt alone.
             const double debt = node ? std::max(0.0, node->order.start - parent->virtualTime) : 0;
             const double own = node && level == 2 ? node->backlog : 0;
