Change: queue short work for at most a twelfth of its deadline

Cause: admitted requests waited up to 12% longer than expected at p99, since the competing flows change after admission; the limit of 200 ms left no margin. Change: limit 1/12 instead of 1/10 of the time to the deadline (167 ms at 2 s). The overload benchmark also runs with 1 and 1,000 callers and with 200 ms of run time.

--- a/src/bench/slot_bench.cpp
+++ b/src/bench/slot_bench.cpp
@@ -80,46 +80,57 @@
         }
     }
 
-    template <typename Pool> Swing runSwing(Pool& pool, std::uint32_t slots, const BenchOptions& options)
+    template <typename Pool>
+    Swing runSwing(Pool& pool, std::uint32_t slots, std::uint64_t callers, Duration mean, std::uint64_t seed)
     {
         Swing swing;
-        std::mt19937_64 random(options.seed);
+        std::mt19937_64 random(seed);
         std::uint64_t number = 0;
         Time now = startOfRun;
-        const Duration mean = 50ms;
         SlotSim<Pool> sim(pool, [&](const SimResult& result) { noteSwing(swing, result); });
         sim.run([&]() -> std::optional<SimRequest> {
             now += gap(swingLoad(now - startOfRun) * slots / (inMs(mean) / 1000), random);
             if (now - startOfRun > 26s)
                 return std::nullopt;
-            const auto caller = std::min(random() % 20, random() % 20); // The first callers send most.
+            const auto caller = std::min(random() % callers, random() % callers); // The first callers send most.
             return makeRequest(++number, now, "c" + std::to_string(caller), mean, 2s, random);
         });
         return swing;
     }
 
-    void benchOverload(const BenchOptions& options, const Report& report)
+    /** Load swing with a number of callers, of whom the first send most. */
+    void overloadWith(std::uint64_t callers, Duration mean, const BenchOptions& options, const Report& report)
     {
         const int instances = options.quick ? 10 : 50;
         const std::uint32_t slots = static_cast<std::uint32_t>(instances) * 8;
+        const std::string name
+            = "overload, " + std::to_string(callers) + " callers, " + std::to_string(toMs(mean)) + " ms: ";
         SlotPool pool;
         pool.applyPolicy(simBundle());
         fillPool(pool, instances, 8);
-        Swing swing = runSwing(pool, slots, options);
+        Swing swing = runSwing(pool, slots, callers, mean, options.seed);
         const double p99 = quantileMs(swing.waits, 0.99);
-        report({ "overload: p99 wait of admitted prompt work", p99, "ms", "<= 200", p99 <= 200 });
+        report({ name + "p99 wait", p99, "ms", "<= 200", p99 <= 200 });
         const double goodput = 100 * swing.served / (slots * 10.0);
-        report({ "overload: goodput of capacity at the peak", goodput, "%", ">= 95", goodput >= 95 });
-        report({ "overload: slowest refusal", swing.refusalDelay, "ms", "<= 5", swing.refusalDelay <= 5 });
+        report({ name + "goodput", goodput, "%", ">= 95", goodput >= 95 });
+        report({ name + "slowest refusal", swing.refusalDelay, "ms", "<= 5", swing.refusalDelay <= 5 });
         const double last = swing.lastWaitAfterPeak;
-        report({ "overload: last wait over 5 ms after the peak", last, "s", "<= 2", last <= 2 });
-        report({ "overload: p99 wait before the ramp", quantileMs(swing.before, 0.99), "ms", "", true });
-        report({ "overload: p99 wait from 2 s after the peak", quantileMs(swing.after, 0.99), "ms", "", true });
-        report({ "overload: share refused", 100 * swing.refusals / swing.arrivals, "%", "", true });
+        report({ name + "normal again", last, "s", "<= 2", last <= 2 });
+        report({ name + "p99 wait before", quantileMs(swing.before, 0.99), "ms", "", true });
+        report({ name + "p99 wait after", quantileMs(swing.after, 0.99), "ms", "", true });
+        report({ name + "refused", 100 * swing.refusals / swing.arrivals, "%", "", true });
         FifoPool fifo(slots);
-        Swing base = runSwing(fifo, slots, options);
-        report({ "overload: FIFO p99 wait", quantileMs(base.waits, 0.99), "ms", "", true });
-        report({ "overload: FIFO goodput", 100 * base.served / (slots * 10.0), "%", "", true });
+        Swing base = runSwing(fifo, slots, callers, mean, options.seed);
+        report({ name + "FIFO p99 wait", quantileMs(base.waits, 0.99), "ms", "", true });
+        report({ name + "FIFO goodput", 100 * base.served / (slots * 10.0), "%", "", true });
+    }
+
+    void benchOverload(const BenchOptions& options, const Report& report)
+    {
+        overloadWith(20, 50ms, options, report);
+        overloadWith(1, 50ms, options, report);
+        overloadWith(1000, 50ms, options, report);
+        overloadWith(20, 200ms, options, report);
     }
 
     // ---- Short behind long ----
--- a/src/slot_pool.cpp
+++ b/src/slot_pool.cpp
@@ -11,10 +11,11 @@
     constexpr std::uint32_t probeEvery = 16;
 
     /**
-     * Short work may wait for this part of the time to its deadline. A longer queue serves no request more while the
-     * load exceeds the slots, it only makes all of them wait; 200 ms at the default deadline of 2 s.
+     * Short work is queued if it is expected to wait for at most this part of the time to its deadline. A longer queue
+     * serves no request more while the load exceeds the slots, it only makes all of them wait. 167 ms at the default
+     * deadline of 2 s: real waits are up to 12% above the expected ones at the 99th percentile, and the target is 200.
      */
-    constexpr int waitPart = 10;
+    constexpr int waitPart = 12;
 
     /** Short work may wait for this time in any case. */
     constexpr Duration waitFloor = std::chrono::milliseconds(100);
