--- a/src/gang_planner.cpp
+++ b/src/gang_planner.cpp
@@ -7,87 +7,87 @@
 
 namespace {
 
-/** A plan looks at all running tasks (about 1 ms for 21,000), so it is renewed at most this often. */
-constexpr Duration planInterval = std::chrono::seconds(1);
+    /** A plan looks at all running tasks (about 1 ms for 21,000), so it is renewed at most this often. */
+    constexpr Duration planInterval = std::chrono::seconds(1);
 
-/** Held room is summed up at most this often, since schedule() is called after every event. */
-constexpr Duration chargeInterval = std::chrono::milliseconds(10);
+    /** Held room is summed up at most this often, since schedule() is called after every event. */
+    constexpr Duration chargeInterval = std::chrono::milliseconds(10);
 
-double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-Resources times(const Resources& size, std::int64_t count)
-{
-    return { size.coresMilli * count, size.memoryMb * count, size.accelerators * count };
-}
-
-/** Counts tasks by rack up to the limit. */
-class RackBudget {
-public:
-    explicit RackBudget(std::uint32_t limit)
-        : m_limit(limit)
+    Resources times(const Resources& size, std::int64_t count)
     {
-    }
-    std::uint32_t take(std::uint32_t rack, std::uint32_t wanted)
-    {
-        if (m_limit == 0)
-            return wanted;
-        std::uint32_t& used = m_used[rack];
-        const std::uint32_t taken = std::min(wanted, m_limit - used);
-        used += taken;
-        return taken;
+        return { size.coresMilli * count, size.memoryMb * count, size.accelerators * count };
     }
 
-private:
-    std::uint32_t m_limit;
-    std::map<std::uint32_t, std::uint32_t> m_used;
-};
+    /** Counts tasks by rack up to the limit. */
+    class RackBudget {
+    public:
+        explicit RackBudget(std::uint32_t limit)
+            : m_limit(limit)
+        {
+        }
+        std::uint32_t take(std::uint32_t rack, std::uint32_t wanted)
+        {
+            if (m_limit == 0)
+                return wanted;
+            std::uint32_t& used = m_used[rack];
+            const std::uint32_t taken = std::min(wanted, m_limit - used);
+            used += taken;
+            return taken;
+        }
 
-/** When a worker has room for one more task of the gang. */
-struct RoomEvent {
-    Time at {};
-    WorkerIndex worker = 0;
-    std::uint32_t tasks = 0;
-};
+    private:
+        std::uint32_t m_limit;
+        std::map<std::uint32_t, std::uint32_t> m_used;
+    };
 
-/** Overdue tasks are expected to go on for a quarter of the time that they have run. */
-Time endOf(const Reservation& task, Time now)
-{
-    if (task.expectedEnd == timeUnknown || task.expectedEnd > now)
-        return task.expectedEnd;
-    return now + std::max<Duration>((now - task.startedAt) / 4, std::chrono::milliseconds(100));
-}
+    /** When a worker has room for one more task of the gang. */
+    struct RoomEvent {
+        Time at {};
+        WorkerIndex worker = 0;
+        std::uint32_t tasks = 0;
+    };
 
-std::vector<std::pair<Time, Resources>> endsOf(const WorkerState& worker, Time now)
-{
-    std::vector<std::pair<Time, Resources>> ends;
-    ends.reserve(worker.tasks.size());
-    for (const Reservation& task : worker.tasks) {
-        if (const Time end = endOf(task, now); end != timeUnknown)
-            ends.emplace_back(end, task.granted);
+    /** Overdue tasks are expected to go on for a quarter of the time that they have run. */
+    Time endOf(const Reservation& task, Time now)
+    {
+        if (task.expectedEnd == timeUnknown || task.expectedEnd > now)
+            return task.expectedEnd;
+        return now + std::max<Duration>((now - task.startedAt) / 4, std::chrono::milliseconds(100));
     }
-    std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    return ends;
-}
 
-bool canHold(const WorkerState& worker) { return worker.known && worker.usable && !worker.leaving && !worker.out; }
+    std::vector<std::pair<Time, Resources>> endsOf(const WorkerState& worker, Time now)
+    {
+        std::vector<std::pair<Time, Resources>> ends;
+        ends.reserve(worker.tasks.size());
+        for (const Reservation& task : worker.tasks) {
+            if (const Time end = endOf(task, now); end != timeUnknown)
+                ends.emplace_back(end, task.granted);
+        }
+        std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+        return ends;
+    }
 
-void addRoomEvents(
-    std::vector<RoomEvent>& events, const GangNeed& need, const WorkerState& worker, WorkerIndex index, Time now)
-{
-    if (!canHold(worker) || !need.size.fitsIn(worker.info.capacity))
-        return;
-    Resources room = worker.info.capacity - worker.reserved - worker.claimed;
-    std::uint32_t fits = std::min(timesIn(need.size, room), need.count);
-    if (fits > 0)
-        events.push_back({ now, index, fits });
-    for (const auto& [end, size] : endsOf(worker, now)) {
-        room += size;
-        if (const std::uint32_t more = std::min(timesIn(need.size, room), need.count); more > fits) {
-            events.push_back({ end, index, more - fits });
-            fits = more;
+    bool canHold(const WorkerState& worker) { return worker.known && worker.usable && !worker.leaving && !worker.out; }
+
+    void addRoomEvents(
+        std::vector<RoomEvent>& events, const GangNeed& need, const WorkerState& worker, WorkerIndex index, Time now)
+    {
+        if (!canHold(worker) || !need.size.fitsIn(worker.info.capacity))
+            return;
+        Resources room = worker.info.capacity - worker.reserved - worker.claimed;
+        std::uint32_t fits = std::min(timesIn(need.size, room), need.count);
+        if (fits > 0)
+            events.push_back({ now, index, fits });
+        for (const auto& [end, size] : endsOf(worker, now)) {
+            room += size;
+            if (const std::uint32_t more = std::min(timesIn(need.size, room), need.count); more > fits) {
+                events.push_back({ end, index, more - fits });
+                fits = more;
+            }
         }
     }
-}
 
 } // namespace
 
@@ -116,7 +116,8 @@
     std::vector<GangShare> chosen;
     std::uint32_t left = need.count;
     for (const GangShare& share : possible) {
-        if (const std::uint32_t tasks = racks.take(workers[share.worker].rack, std::min(share.tasks, left)); tasks > 0) {
+        if (const std::uint32_t tasks = racks.take(workers[share.worker].rack, std::min(share.tasks, left));
+            tasks > 0) {
             chosen.push_back({ share.worker, tasks });
             if (left -= tasks; left == 0)
                 return chosen;
@@ -198,8 +199,7 @@
     const auto& workers = pool.workers();
     for (WorkerIndex i = 0; i < workers.size(); ++i)
         addRoomEvents(events, *m_need, workers[i], i, now);
-    std::stable_sort(
-        events.begin(), events.end(), [](const RoomEvent& a, const RoomEvent& b) { return a.at < b.at; });
+    std::stable_sort(events.begin(), events.end(), [](const RoomEvent& a, const RoomEvent& b) { return a.at < b.at; });
     RackBudget racks(m_need->rackLimit);
     std::map<WorkerIndex, std::uint32_t> tasks;
     std::uint32_t left = m_need->count;
--- a/src/job_queue.cpp
+++ b/src/job_queue.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/** Cancelled entries are swept out of a lane when they are the larger part of at least this many. */
-constexpr std::size_t sweepFrom = 64;
+    /** Cancelled entries are swept out of a lane when they are the larger part of at least this many. */
+    constexpr std::size_t sweepFrom = 64;
 
 } // namespace
 
@@ -17,8 +17,7 @@
  * @param job Job. @param key Lane. @param since Time from which it waits. @param maxWait Wait after which takeOverdue
  * returns it. @param usage Learned size of such work. @return Lane.
  */
-LaneIndex JobQueue::add(
-    JobSerial job, const LaneKey& key, Time since, Duration maxWait, const UsageEntryPtr& usage)
+LaneIndex JobQueue::add(JobSerial job, const LaneKey& key, Time since, Duration maxWait, const UsageEntryPtr& usage)
 {
     remove(job);
     LaneIndex index = 0;
--- a/src/preemption.cpp
+++ b/src/preemption.cpp
@@ -6,49 +6,49 @@
 
 namespace {
 
-Resources shortfall(const Resources& size, const WorkerState& worker)
-{
-    // Room of tasks that are being stopped already counts, less what other claims wait for.
-    return maxOf(size - maxOf(worker.info.capacity - worker.reserved + worker.stopping - worker.claimed, {}), {});
-}
-
-bool mayUse(const PlaceQuery& query, const WorkerState& worker, WorkerIndex index)
-{
-    if (!worker.isEligible() || !query.size.fitsIn(worker.info.capacity)
-        || std::find(query.avoid.begin(), query.avoid.end(), index) != query.avoid.end())
-        return false;
-    if (query.rackLimit == 0 || !query.rackUse)
-        return true;
-    const auto it = query.rackUse->find(worker.rack);
-    return it == query.rackUse->end() || it->second < query.rackLimit;
-}
+    Resources shortfall(const Resources& size, const WorkerState& worker)
+    {
+        // Room of tasks that are being stopped already counts, less what other claims wait for.
+        return maxOf(size - maxOf(worker.info.capacity - worker.reserved + worker.stopping - worker.claimed, {}), {});
+    }
 
-/** Tasks of one worker that make up the missing room, the latest started first since they lose the least work. */
-std::vector<TaskKey> pickVictims(const Resources& missing, const WorkerState& worker, const VictimFilter& filter)
-{
-    std::vector<const Reservation*> tasks;
-    for (const Reservation& task : worker.tasks) {
-        if (task.stoppable && !task.stopping)
-            tasks.push_back(&task);
+    bool mayUse(const PlaceQuery& query, const WorkerState& worker, WorkerIndex index)
+    {
+        if (!worker.isEligible() || !query.size.fitsIn(worker.info.capacity)
+            || std::find(query.avoid.begin(), query.avoid.end(), index) != query.avoid.end())
+            return false;
+        if (query.rackLimit == 0 || !query.rackUse)
+            return true;
+        const auto it = query.rackUse->find(worker.rack);
+        return it == query.rackUse->end() || it->second < query.rackLimit;
     }
-    std::sort(tasks.begin(), tasks.end(), [](const Reservation* a, const Reservation* b) {
-        return std::tie(b->startedAt, a->key) < std::tie(a->startedAt, b->key);
-    });
-    Resources left = missing;
-    std::vector<TaskKey> victims;
-    std::map<std::uint32_t, Resources> chosen;
-    for (const Reservation* task : tasks) {
-        const Resources useful = minOf(task->granted, maxOf(left, {}));
-        if (useful == Resources {} || !filter(*task, chosen[task->team]))
-            continue;
-        chosen[task->team] += task->granted;
-        victims.push_back(task->key);
-        left -= task->granted;
-        if (left.fitsIn({}))
-            return victims;
+
+    /** Tasks of one worker that make up the missing room, the latest started first since they lose the least work. */
+    std::vector<TaskKey> pickVictims(const Resources& missing, const WorkerState& worker, const VictimFilter& filter)
+    {
+        std::vector<const Reservation*> tasks;
+        for (const Reservation& task : worker.tasks) {
+            if (task.stoppable && !task.stopping)
+                tasks.push_back(&task);
+        }
+        std::sort(tasks.begin(), tasks.end(), [](const Reservation* a, const Reservation* b) {
+            return std::tie(b->startedAt, a->key) < std::tie(a->startedAt, b->key);
+        });
+        Resources left = missing;
+        std::vector<TaskKey> victims;
+        std::map<std::uint32_t, Resources> chosen;
+        for (const Reservation* task : tasks) {
+            const Resources useful = minOf(task->granted, maxOf(left, {}));
+            if (useful == Resources {} || !filter(*task, chosen[task->team]))
+                continue;
+            chosen[task->team] += task->granted;
+            victims.push_back(task->key);
+            left -= task->granted;
+            if (left.fitsIn({}))
+                return victims;
+        }
+        return {};
     }
-    return {};
-}
 
 } // namespace
 
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-bool isOver(std::int64_t used, std::int64_t quota) { return quota > 0 && used > quota; }
+    bool isOver(std::int64_t used, std::int64_t quota) { return quota > 0 && used > quota; }
 
-bool isOver(const Resources& used, const Resources& quota)
-{
-    return isOver(used.coresMilli, quota.coresMilli) || isOver(used.memoryMb, quota.memoryMb)
-        || isOver(used.accelerators, quota.accelerators);
-}
+    bool isOver(const Resources& used, const Resources& quota)
+    {
+        return isOver(used.coresMilli, quota.coresMilli) || isOver(used.memoryMb, quota.memoryMb)
+            || isOver(used.accelerators, quota.accelerators);
+    }
 
 } // namespace
 
--- a/src/target_health.cpp
+++ b/src/target_health.cpp
@@ -7,15 +7,16 @@
 
 namespace {
 
-constexpr std::uint32_t failuresToTrip = 5;
-constexpr std::size_t workloadsToTrip = 2;
-constexpr std::uint32_t successesToReturn = 3;
-constexpr std::uint32_t successesToTrust = 50; ///< In a row, after which the pause starts from its first value again.
-constexpr Duration firstPause = std::chrono::seconds(10);
-constexpr Duration longestPause = std::chrono::minutes(10);
+    constexpr std::uint32_t failuresToTrip = 5;
+    constexpr std::size_t workloadsToTrip = 2;
+    constexpr std::uint32_t successesToReturn = 3;
+    constexpr std::uint32_t successesToTrust
+        = 50; ///< In a row, after which the pause starts from its first value again.
+    constexpr Duration firstPause = std::chrono::seconds(10);
+    constexpr Duration longestPause = std::chrono::minutes(10);
 
-/** Workers that must have run a workload before its failures are put down to the work. */
-constexpr std::size_t workersToJudge = 3;
+    /** Workers that must have run a workload before its failures are put down to the work. */
+    constexpr std::size_t workersToJudge = 3;
 
 } // namespace
 
@@ -31,8 +32,7 @@
 
 /** Notes the end of a task that ran. @param worker Worker. @param workload Its workload. @param success Whether it
  * succeeded. @param now Present time. @return Changes. */
-std::vector<HealthChange> TargetHealth::ended(
-    std::uint32_t worker, const WorkloadId& workload, bool success, Time now)
+std::vector<HealthChange> TargetHealth::ended(std::uint32_t worker, const WorkloadId& workload, bool success, Time now)
 {
     note(workload, worker, success);
     Worker& state = m_workers[worker];
--- a/src/task_placing.cpp
+++ b/src/task_placing.cpp
@@ -7,26 +7,26 @@
 
 namespace {
 
-/** Bounds of one round, so that other events of the core don't wait long behind it. */
-constexpr std::size_t lanesPerRound = 4096;
-constexpr std::size_t startsPerRound = 4096;
+    /** Bounds of one round, so that other events of the core don't wait long behind it. */
+    constexpr std::size_t lanesPerRound = 4096;
+    constexpr std::size_t startsPerRound = 4096;
 
-/** A claim that is not served in this time is made again elsewhere: the stopped task may hang. */
-constexpr Duration claimTimeout = std::chrono::seconds(10);
+    /** A claim that is not served in this time is made again elsewhere: the stopped task may hang. */
+    constexpr Duration claimTimeout = std::chrono::seconds(10);
 
-/** Interval of the search for borrowed quota to give back, which looks at all lanes. */
-constexpr Duration reclaimInterval = std::chrono::milliseconds(200);
+    /** Interval of the search for borrowed quota to give back, which looks at all lanes. */
+    constexpr Duration reclaimInterval = std::chrono::milliseconds(200);
 
-/** Tasks stopped in one such search. */
-constexpr int reclaimsPerRound = 16;
+    /** Tasks stopped in one such search. */
+    constexpr int reclaimsPerRound = 16;
 
-/** Waiting tasks of a job that are tried when the first one must avoid the free workers. */
-constexpr std::size_t tasksToTry = 4;
+    /** Waiting tasks of a job that are tried when the first one must avoid the free workers. */
+    constexpr std::size_t tasksToTry = 4;
 
-Resources times(const Resources& size, std::int64_t count)
-{
-    return { size.coresMilli * count, size.memoryMb * count, size.accelerators * count };
-}
+    Resources times(const Resources& size, std::int64_t count)
+    {
+        return { size.coresMilli * count, size.memoryMb * count, size.accelerators * count };
+    }
 
 } // namespace
 
@@ -47,8 +47,13 @@
         placeFair(borrowers, true, round, now);
         updateReservation(now);
     }
-    for (TaskStop& stop : m_pendingStops)
-        round.stops.push_back(std::move(stop));
+    for (TaskStop& stop : m_pendingStops) {
+        // The task may have ended since, and may even have started again: that run must not be stopped.
+        std::uint32_t index = 0;
+        const Job* job = findTask(stop.task, index);
+        if (job && job->tasks[index].stopping && m_pool.workers()[job->tasks[index].worker].info.id == stop.worker)
+            round.stops.push_back(std::move(stop));
+    }
     m_pendingStops.clear();
     for (std::string& note : m_notes)
         round.notes.push_back(std::move(note));
@@ -104,21 +109,16 @@
         const auto found = m_bySerial.find(claim.job);
         Job* job = found == m_bySerial.end() || found->second->isOver() ? nullptr : found->second;
         const WorkerState& worker = m_pool.workers()[claim.worker];
-        const bool fits = worker.isEligible() && claim.size.fitsIn(worker.info.capacity - worker.reserved - earlier[claim.worker]);
-        const bool hopeless = !worker.known || !worker.usable || worker.leaving || worker.out
-            || now - claim.madeAt >= claimTimeout;
+        const bool fits
+            = worker.isEligible() && claim.size.fitsIn(worker.info.capacity - worker.reserved - earlier[claim.worker]);
+        const bool hopeless
+            = !worker.known || !worker.usable || worker.leaving || worker.out || now - claim.madeAt >= claimTimeout;
         if (job && !fits && !hopeless) {
             earlier[claim.worker] += claim.size;
             ++i;
             continue;
         }
-        m_claims.erase(m_claims.begin() + static_cast<std::ptrdiff_t>(i));
-        m_pool.dropClaim(claim.worker, claim.size);
-        --m_queuedTasks;
-        if (!job)
-            continue;
-        requeueTask(*job, claim.index);
-        if (fits)
+        if (dropClaim(i) && fits)
             start(*job, claim.index, claim.worker, claim.size, "room of stopped work", round, now);
     }
 }
@@ -180,8 +180,8 @@
     for (const Candidate& candidate : candidates) {
         if (candidate.rank == QueueRank::Fair)
             return;
-        while (round.starts.size() < startsPerRound
-            && tryLane(candidate.lane, true, round, now) == TryResult::Placed) { }
+        while (round.starts.size() < startsPerRound && tryLane(candidate.lane, true, round, now) == TryResult::Placed) {
+        }
         m_tryAll = m_tryAll || round.starts.size() >= startsPerRound;
     }
 }
@@ -202,8 +202,8 @@
     std::priority_queue<Turn, std::vector<Turn>, std::greater<>> turns;
     const auto shareOf = [&](std::size_t i) { return m_quota.share(candidates[i].team, m_pool.totalCapacity()); };
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].rank == QueueRank::Fair && (i == 0 || candidates[i].team != candidates[i - 1].team
-                || candidates[i - 1].rank != QueueRank::Fair))
+        if (candidates[i].rank == QueueRank::Fair
+            && (i == 0 || candidates[i].team != candidates[i - 1].team || candidates[i - 1].rank != QueueRank::Fair))
             turns.push({ shareOf(i), i });
     }
     while (!turns.empty()) {
@@ -325,7 +325,8 @@
     for (const TaskKey& victim : choice.victims)
         stopTask(victim, true, why, round);
     m_pool.addClaim(choice.worker, size);
-    m_claims.push_back({ job.serial, index, choice.worker, size, now });
+    m_quota.charge(job.team, size);
+    m_claims.push_back({ job.serial, job.team, index, choice.worker, size, now });
     job.reason = "waits for the end of tasks that are being stopped";
     takeFromQueue(job, index);
     ++m_queuedTasks; // It still waits, but in no lane.
--- a/src/task_recovery.cpp
+++ b/src/task_recovery.cpp
@@ -20,7 +20,10 @@
 /** Gives a waiting task the place where a worker reports it. @return True. */
 bool TaskScheduler::adoptTask(Job& job, std::uint32_t index, WorkerIndex worker, const Resources& size, Time now)
 {
-    dropClaims(job, index);
+    const auto claimed = std::find_if(m_claims.begin(), m_claims.end(),
+        [&](const Claim& claim) { return claim.job == job.serial && claim.index == index; });
+    if (claimed != m_claims.end())
+        dropClaim(static_cast<std::size_t>(claimed - m_claims.begin()));
     takeFromQueue(job, index);
     reserveTask(job, index, worker, maxOf(size, {}), now);
     job.ranInPart = true;
@@ -73,17 +76,26 @@
     }
 }
 
-/** Puts a task back whose room was claimed. */
-void TaskScheduler::dropClaims(const Job& job, std::uint32_t index)
+/** Gives up a claim; its task waits in its lane again. @return Job, null if it is over. */
+TaskScheduler::Job* TaskScheduler::dropClaim(std::size_t position)
 {
-    for (auto it = m_claims.begin(); it != m_claims.end(); ++it) {
-        if (it->job != job.serial || it->index != index)
-            continue;
-        m_pool.dropClaim(it->worker, it->size);
-        m_claims.erase(it);
-        --m_queuedTasks;
-        requeueTask(*m_bySerial.at(job.serial), index);
-        return;
+    const Claim claim = m_claims[position];
+    m_claims.erase(m_claims.begin() + static_cast<std::ptrdiff_t>(position));
+    m_pool.dropClaim(claim.worker, claim.size);
+    m_quota.credit(claim.team, claim.size);
+    --m_queuedTasks;
+    const auto found = m_bySerial.find(claim.job);
+    if (found == m_bySerial.end() || found->second->isOver())
+        return nullptr;
+    requeueTask(*found->second, claim.index);
+    return found->second;
+}
+
+void TaskScheduler::dropClaimsOn(WorkerIndex worker)
+{
+    for (std::size_t i = m_claims.size(); i > 0; --i) {
+        if (m_claims[i - 1].worker == worker)
+            dropClaim(i - 1);
     }
 }
 
@@ -111,6 +123,8 @@
         for (const Task& task : job->tasks)
             used[job->team] += task.charged;
     }
+    for (const Claim& claim : m_claims)
+        used[claim.team] += claim.size;
     for (TeamIndex team = 0; team < used.size(); ++team) {
         if (used[team] != m_quota.used(team))
             throw std::logic_error("the usage of a team is wrong");
@@ -158,7 +172,9 @@
     const auto claims = static_cast<std::size_t>(
         std::count_if(m_claims.begin(), m_claims.end(), [&](const Claim& c) { return c.job == job.serial; }));
     if (queued != job.queued.size() + claims)
-        throw std::logic_error("a waiting task of " + job.spec.id.value + " is lost");
+        throw std::logic_error("a waiting task of " + job.spec.id.value + " is lost: " + std::to_string(queued)
+            + " wait, " + std::to_string(job.queued.size()) + " are queued, " + std::to_string(claims) + " claimed; "
+            + job.spec.workload.value + " " + job.reason);
     if (m_queue.contains(job.serial) != (!job.queued.empty() && !job.regathering))
         throw std::logic_error("job " + job.spec.id.value + " waits in no lane");
     if (job.isGang() && job.running > 0 && !job.queued.empty() && !job.regathering && !job.ranInPart)
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -8,21 +8,21 @@
 
 namespace {
 
-/** A worker that refused a start for lack of room or that was not reached gets no new work for this time. */
-constexpr Duration refusalPause = std::chrono::seconds(1);
-
-/** Idempotent work fails for good after failures on this many different workers. */
-constexpr std::size_t failuresToGiveUp = 3;
-
-/** Policy of a job from the store whose workload the bundle no longer names: nothing is assumed about it. */
-WorkloadPolicy fallbackPolicy(const WorkloadId& id)
-{
-    WorkloadPolicy policy;
-    policy.id = id;
-    policy.workClass = WorkClass::Batch;
-    policy.idempotent = false;
-    return policy;
-}
+    /** A worker that refused a start for lack of room or that was not reached gets no new work for this time. */
+    constexpr Duration refusalPause = std::chrono::seconds(1);
+
+    /** Idempotent work fails for good after failures on this many different workers. */
+    constexpr std::size_t failuresToGiveUp = 3;
+
+    /** Policy of a job from the store whose workload the bundle no longer names: nothing is assumed about it. */
+    WorkloadPolicy fallbackPolicy(const WorkloadId& id)
+    {
+        WorkloadPolicy policy;
+        policy.id = id;
+        policy.workClass = WorkClass::Batch;
+        policy.idempotent = false;
+        return policy;
+    }
 
 } // namespace
 
@@ -103,6 +103,7 @@
     const WorkerIndex index = m_pool.find(worker);
     if (index == noWorker)
         return;
+    dropClaimsOn(index);
     const std::vector<Reservation> tasks = m_pool.workers()[index].tasks;
     for (const Reservation& task : tasks) {
         if (const auto it = m_bySerial.find(task.key.job); it != m_bySerial.end())
@@ -333,8 +334,8 @@
     const std::int64_t together = gang ? spec.tasks : 1;
     const Resources need { spec.size.coresMilli * together, spec.size.memoryMb * together,
         spec.size.accelerators * together };
-    const bool mayBorrow = policy.workClass == WorkClass::Batch && policy.idempotent
-        && policy.priority == Priority::Normal;
+    const bool mayBorrow
+        = policy.workClass == WorkClass::Batch && policy.idempotent && policy.priority == Priority::Normal;
     if (!mayBorrow && !m_quota.fitsEmpty(m_quota.index(spec.team), need))
         return { ErrorKind::QuotaExceeded, "larger than the whole quota of the team" };
     return {};
@@ -445,9 +446,8 @@
     if (!job.policy.idempotent || final) {
         task.state = Task::State::Failed;
         ++job.failed;
-        job.reason = job.policy.idempotent
-            ? "failed on " + std::to_string(task.failedOn.size()) + " different workers"
-            : "failed; work that is not idempotent is not run again";
+        job.reason = job.policy.idempotent ? "failed on " + std::to_string(task.failedOn.size()) + " different workers"
+                                           : "failed; work that is not idempotent is not run again";
         if (job.isGang()) {
             const auto stops = stopAll(job, JobPhase::Failed, job.reason);
             m_pendingStops.insert(m_pendingStops.end(), stops.begin(), stops.end());
@@ -513,6 +513,8 @@
 void TaskScheduler::completeRegathering(Job& job)
 {
     job.regathering = false;
+    if (job.isOver())
+        return; // The last end was a failure for good.
     if (!job.policy.idempotent && job.ranInPart) {
         job.reason += "; work that is not idempotent is not run again";
         stopAll(job, JobPhase::Failed, std::string(job.reason));
--- a/src/task_scheduler.h
+++ b/src/task_scheduler.h
@@ -144,6 +144,7 @@
     /** Room that waits for the end of tasks that are being stopped for a task. */
     struct Claim {
         JobSerial job = 0;
+        TeamIndex team = 0; ///< Its quota is charged from the claim on.
         std::uint32_t index = 0;
         WorkerIndex worker = noWorker;
         Resources size;
@@ -179,7 +180,8 @@
     void addForeign(const TaskId& task, WorkerIndex worker, const Resources& size);
     void endForeign(const TaskId& task, WorkerIndex worker);
     void adoptForeign(Job& job, Time now);
-    void dropClaims(const Job& job, std::uint32_t index);
+    Job* dropClaim(std::size_t position);
+    void dropClaimsOn(WorkerIndex worker);
     std::vector<TaskStop> stopAll(Job& job, JobPhase phase, const std::string& reason);
     void applyHealth(const std::vector<HealthChange>& changes);
     std::size_t checkJob(const Job& job) const;
--- a/src/usage_model.cpp
+++ b/src/usage_model.cpp
@@ -6,21 +6,22 @@
 
 namespace {
 
-constexpr Duration peakPeriod = std::chrono::minutes(10);
+    constexpr Duration peakPeriod = std::chrono::minutes(10);
 
-/** Part of the gap that is closed by one report downwards, as 1/n. */
-constexpr std::int64_t stepDivisor = 10;
+    /** Part of the gap that is closed by one report downwards, as 1/n. */
+    constexpr std::int64_t stepDivisor = 10;
 
-/** Runs needed before the learned run time replaces the declared one. */
-constexpr std::uint32_t runsToTrust = 3;
+    /** Runs needed before the learned run time replaces the declared one. */
+    constexpr std::uint32_t runsToTrust = 3;
 
-/** A step of at least 1 unit: without it the size would stand still as soon as a tenth of the gap is less than 1. */
-std::int64_t follow(std::int64_t size, std::int64_t usage, std::int64_t peak)
-{
-    if (usage >= size)
-        return usage;
-    return std::max(size - std::max<std::int64_t>((size - usage) / stepDivisor, 1), std::max(peak, usage));
-}
+    /** A step of at least 1 unit: without it the size would stand still as soon as a tenth of the gap is less than 1.
+     */
+    std::int64_t follow(std::int64_t size, std::int64_t usage, std::int64_t peak)
+    {
+        if (usage >= size)
+            return usage;
+        return std::max(size - std::max<std::int64_t>((size - usage) / stepDivisor, 1), std::max(peak, usage));
+    }
 
 } // namespace
 
--- a/src/worker_pool.cpp
+++ b/src/worker_pool.cpp
@@ -7,16 +7,16 @@
 
 namespace {
 
-/** Candidates scored from each end of the index. More than this changed no measured figure. */
-constexpr int candidatesPerEnd = 12;
+    /** Candidates scored from each end of the index. More than this changed no measured figure. */
+    constexpr int candidatesPerEnd = 12;
 
-/** Counts half, so that packing wins at equal weights: both terms depend on the same utilisation. */
-constexpr double waitFactor = 0.5;
+    /** Counts half, so that packing wins at equal weights: both terms depend on the same utilisation. */
+    constexpr double waitFactor = 0.5;
 
-double share(std::int64_t part, std::int64_t whole)
-{
-    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
-}
+    double share(std::int64_t part, std::int64_t whole)
+    {
+        return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+    }
 
 } // namespace
 
--- a/tests/task_test_base.h
+++ b/tests/task_test_base.h
@@ -68,7 +68,8 @@
 }
 
 /** A scheduler with equal usable workers. */
-inline TaskScheduler testScheduler(int workers, const Bundle& bundle = testBundle(), Resources capacity = { 8000, 8192, 0 })
+inline TaskScheduler testScheduler(
+    int workers, const Bundle& bundle = testBundle(), Resources capacity = { 8000, 8192, 0 })
 {
     TaskScheduler scheduler;
     scheduler.applyPolicy(bundle);
--- a/tests/test_worker_pool.cpp
+++ b/tests/test_worker_pool.cpp
@@ -118,7 +118,8 @@
             pool.setOut(some, random() % 2);
             break;
         case 1:
-            pool.put(workerInfo(static_cast<int>(some), { 4000 + 4000 * static_cast<std::int64_t>(random() % 2), 8192, 2 }, 2));
+            pool.put(workerInfo(
+                static_cast<int>(some), { 4000 + 4000 * static_cast<std::int64_t>(random() % 2), 8192, 2 }, 2));
             break;
         case 2:
         case 3:
