--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,5 +1,4 @@
-/** @file main.cpp Runs the registered benchmarks and prints one line for each figure: name value unit target verdict.
- */
+/** @file main.cpp Runs the registered benchmarks and prints one line for each figure: name value unit target verdict. */
 #include "bench/bench_func.h"
 
 #include <cstdio>
@@ -14,19 +13,19 @@
 
 namespace {
 
-    std::map<std::string, Benchmark>& benchmarks()
-    {
-        static std::map<std::string, Benchmark> all;
-        return all;
-    }
+std::map<std::string, Benchmark>& benchmarks()
+{
+    static std::map<std::string, Benchmark> all;
+    return all;
+}
 
-    void print(const Figure& figure)
-    {
-        const char* verdict = figure.target.empty() ? "baseline" : figure.met ? "met" : "MISS";
-        std::printf("%-52s %14.3f %-10s %-16s %s\n", figure.name.c_str(), figure.value, figure.unit.c_str(),
-            figure.target.empty() ? "-" : figure.target.c_str(), verdict);
-        std::fflush(stdout);
-    }
+void print(const Figure& figure)
+{
+    const char* verdict = figure.target.empty() ? "baseline" : figure.met ? "met" : "MISS";
+    std::printf("%-52s %14.3f %-10s %-16s %s\n", figure.name.c_str(), figure.value, figure.unit.c_str(),
+        figure.target.empty() ? "-" : figure.target.c_str(), verdict);
+    std::fflush(stdout);
+}
 
 } // namespace
 
