--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -103,6 +103,7 @@
     const WorkerIndex index = m_pool.find(worker);
     if (index == noWorker)
         return;
+    dropClaimsOn(index);
     const std::vector<Reservation> tasks = m_pool.workers()[index].tasks;
     for (const Reservation& task : tasks) {
         if (const auto it = m_bySerial.find(task.key.job); it != m_bySerial.end())
@@ -512,6 +513,8 @@
 void TaskScheduler::completeRegathering(Job& job)
 {
     job.regathering = false;
+    if (job.isOver())
+        return; // The last end was a failure for good.
     if (!job.policy.idempotent && job.ranInPart) {
         job.reason += "; work that is not idempotent is not run again";
         stopAll(job, JobPhase::Failed, std::string(job.reason));
