--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -16,7 +16,7 @@
     constexpr std::chrono::seconds uploadLimit { 30 }; ///< A request that arrives in tiny pieces is cut off after it.
     constexpr unsigned connectionLimit = 20000;
     constexpr std::size_t connectionMemory = 64UL * 1024; ///< Read buffer of a connection, and its largest header.
-    constexpr std::size_t discardFactor = 4; ///< A body this many times the limit is not even read.
+    constexpr std::size_t discardFactor = 4; ///< A body declared this many times the limit is not read.
 
     std::string headerOf(MHD_Connection* connection, const char* name, MHD_ValueKind kind = MHD_HEADER_KIND)
     {
@@ -199,12 +199,14 @@
     return call.release();
 }
 
-/** Takes a piece of the body. Past the limit it is read and dropped, so that the caller sees the answer. */
+/**
+ * Takes a piece of the body. Past the limit it is read and dropped, so that the caller sees the answer. libmicrohttpd
+ * can't answer in the middle of a body, so a body that takes too long only ends the connection.
+ */
 int CallerServer::receive(Call& call, const char* data, std::size_t& size)
 {
     call.received += size;
-    const bool endless = call.received > maxPromptBytes * discardFactor;
-    if (endless || BootClock::now() - call.startedAt > uploadLimit)
+    if (BootClock::now() - call.startedAt > uploadLimit)
         return MHD_NO;
     if (call.received <= call.route.bodyLimit)
         call.body.append(data, size);
--- a/src/message_codec.cpp
+++ b/src/message_codec.cpp
@@ -23,6 +23,17 @@
 
     Payload payloadOf(std::string&& bytes) { return std::make_shared<const std::string>(std::move(bytes)); }
 
+    /** Text for people, which may come from a target. proto3 refuses a frame with a string that is not UTF-8. */
+    std::string cleanText(const std::string& text)
+    {
+        if (google::protobuf::internal::IsStructurallyValidUTF8(text.data(), static_cast<int>(text.size())))
+            return text;
+        std::string clean = text;
+        std::replace_if(
+            clean.begin(), clean.end(), [](char c) { return static_cast<unsigned char>(c) >= 0x80; }, '?');
+        return clean;
+    }
+
     /** Writes each kind of message into the body of an envelope. */
     struct Encoder {
         proto::Envelope& envelope;
@@ -100,7 +111,7 @@
             auto& body = *envelope.mutable_answer();
             body.set_request_id(message.id.value);
             body.set_kind(static_cast<std::uint32_t>(message.error));
-            body.set_detail(message.detail);
+            body.set_detail(cleanText(message.detail));
             body.set_body(bytesOf(message.body));
             body.set_job_id(message.job.value);
             body.set_wait_us(clampToUint32(message.wait.count()));
@@ -113,7 +124,7 @@
             state.set_running(message.status->running);
             state.set_done(message.status->done);
             state.set_failed(message.status->failed);
-            state.set_reason(message.status->reason);
+            state.set_reason(cleanText(message.status->reason));
             state.set_result(message.status->result);
         }
 
@@ -161,7 +172,7 @@
         void operator()(const ExplainMessage& message) const
         {
             envelope.mutable_explain_text()->set_request_id(message.id.value);
-            envelope.mutable_explain_text()->set_text(message.text);
+            envelope.mutable_explain_text()->set_text(cleanText(message.text));
         }
     };
 
@@ -381,6 +392,9 @@
 {
     if (bytes.size() > maxFrameBytes)
         return { std::nullopt, FrameProblem::Oversized };
+    // A malformed frame is counted; protobuf's own lines on standard error would let a faulty peer flood the log.
+    static const auto silenced = google::protobuf::SetLogHandler(nullptr);
+    static_cast<void>(silenced);
     proto::Envelope envelope;
     if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return { std::nullopt, FrameProblem::Malformed };
