Fix: requests that arrive during a shutdown are refused instead of cut off

Cause: the scheduler ended as soon as the core had drained, 12 ms after SIGTERM, while gateways learn of a drain within a heartbeat interval; the gateway ended while requests were on their way over kept connections. Change: the scheduler refuses for 600 ms more; the gateway answers until 300 ms have passed without a request.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,9 @@
 
     constexpr std::chrono::milliseconds heartbeatInterval { 250 };
     constexpr std::chrono::milliseconds drainPoll { 5 };
+    /** A request may be on its way over an open connection; it is answered with `draining` and the connection closed.
+     */
+    constexpr std::chrono::milliseconds drainQuiet { 300 };
 
     PeerLinkConfig linkConfig(const GatewaySettings& settings, Incarnation incarnation)
     {
@@ -79,9 +82,13 @@
 void Gateway::drain()
 {
     m_server.stopAccepting();
-    const Time until = BootClock::now() + m_settings.drainTimeout;
-    while (m_server.active() > 0 && BootClock::now() < until)
+    Time now = BootClock::now();
+    const Time until = now + m_settings.drainTimeout;
+    for (Time busyAt = now; now < until && now - busyAt < drainQuiet; now = BootClock::now()) {
+        if (m_server.active() > 0)
+            busyAt = now;
         std::this_thread::sleep_for(drainPoll);
+    }
     if (const std::size_t left = m_table.pending(); left > 0)
         logWarning(
             LogPart::Gate, std::to_string(left) + " requests are answered as lost at the end of the drain time.");
--- a/src/scheduler/scheduler_daemon.cpp
+++ b/src/scheduler/scheduler_daemon.cpp
@@ -15,6 +15,9 @@
     constexpr std::chrono::milliseconds tickInterval { 10 };
     constexpr std::chrono::milliseconds metricsInterval { 250 };
     constexpr std::chrono::seconds adminTimeout { 2 };
+    /** Gateways and peers learn within a heartbeat interval (250 ms) that this process drains; what they send until
+     * then must still be refused, or it would count as lost. */
+    constexpr std::chrono::milliseconds refuseAfterDrain { 600 };
 
     constexpr std::array<const char*, std::variant_size_v<Event>> eventNames { "prompt", "job", "job_command",
         "prompt_cancel", "peer_answer", "peer_heartbeat", "peer_heartbeat_ack", "bundle_fetch", "bundle_text",
@@ -176,7 +179,7 @@
     m_core->start(now);
     Time nextTick = now;
     Time nextMetrics = now;
-    while (!m_drained && !(m_drainUntil && now >= *m_drainUntil)) {
+    while (!hasEnded(now)) {
         std::array<pollfd, 2> fds { pollfd { m_ring.wakeFd(), POLLIN, 0 },
             pollfd { m_drainUntil ? -1 : stopFd, POLLIN, 0 } };
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(nextTick - BootClock::now()).count();
@@ -194,7 +197,7 @@
             updateMetrics();
         }
     }
-    if (!m_drained)
+    if (!m_drainedAt)
         logWarning(LogPart::Main, "The drain time is over; calls in flight are cut off.");
     m_admin.stop();
     m_link.stop();
@@ -202,6 +205,13 @@
     m_store.stop();
 }
 
+bool SchedulerDaemon::hasEnded(Time now) const
+{
+    if (m_drainedAt)
+        return now >= *m_drainedAt + refuseAfterDrain;
+    return m_drainUntil && now >= *m_drainUntil;
+}
+
 void SchedulerDaemon::decide(std::vector<DecideItem>&& items, Time now)
 {
     if (items.empty())
@@ -254,7 +264,8 @@
                    [&](UnfollowTarget& typed) { m_targets.post(std::move(typed)); },
                    [&](CallStore& typed) { m_store.post(std::move(typed)); },
                    [&](WatchStore& typed) { m_store.post(std::move(typed)); },
-                   [&](ReadinessChanged& typed) { performReadiness(typed); }, [&](Drained&) { m_drained = true; } },
+                   [&](ReadinessChanged& typed) { performReadiness(typed); },
+                   [&](Drained&) { m_drainedAt = BootClock::now(); } },
         action);
 }
 
--- a/src/scheduler/scheduler_daemon.h
+++ b/src/scheduler/scheduler_daemon.h
@@ -44,6 +44,7 @@
     void unsent(const HostId& to, LinkMessage&& message);
     void post(Event&& event) { m_ring.push(DecideItem(std::move(event))); }
     std::string ask(const std::string& explainId);
+    bool hasEnded(Time now) const;
     void decide(std::vector<DecideItem>&& items, Time now);
     void handle(const Event& event, Time now);
     void answerAdmin(const AdminQuestion& question, Time now);
@@ -66,7 +67,7 @@
     bool m_ready = false; ///< Guarded by m_readinessMutex, as the reason.
     std::string m_readinessReason = "starting";
     std::optional<Time> m_drainUntil;
-    bool m_drained = false;
+    std::optional<Time> m_drainedAt;
     std::unique_ptr<SchedulerCore> m_core; ///< Made in start(), since it announces the bound address.
     PeerLink m_link;
     TargetClient m_targets;
