--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,12 @@
 
 live: build ## faults of processes, store and targets against a live cell, about 3 min, SEED=n
 	@python3 tests/live_faults.py --build $(BUILD) --seed $(SEED)
+
+bench: build ## figures of the deciding functions against their targets, SEED=n, ONLY=text
+	@$(BUILD)/sp-bench --seed $(SEED) --only "$(ONLY)"
+
+fuzz: deps ## a fixed run of each fuzz target
+	@.ci/fuzz
+
+sanitize: deps ## the tests under AddressSanitizer and UndefinedBehaviorSanitizer
+	@.ci/sanitize $(BUILD)-asan
