Add: liveness of jobs and answers in the soak

Cause: a run must show that every accepted job ends after the last fault. Change: after 80 s without faults each accepted job is queried; a durable one must be known and over; every request whose scheduler lives must be answered. Shards are not handed over while the session is away.

--- a/src/ownership_balance.cpp
+++ b/src/ownership_balance.cpp
@@ -60,7 +60,7 @@
 void Ownership::handOver(Time now)
 {
     const std::size_t limit = share(now);
-    if (m_isReleasing || ownCount() <= limit || !hasReceiver(limit, now)) {
+    if (m_isReleasing || !sessionFresh(now) || ownCount() <= limit || !hasReceiver(limit, now)) {
         m_surplusSince.reset();
         return;
     }
--- a/src/soak/checks.cpp
+++ b/src/soak/checks.cpp
@@ -27,9 +27,8 @@
     submission.isDone = true;
     ++m_counts[(submission.isJob ? "job answers: " : "request answers: ") + std::string(errorInfo(answer.error).name)];
     if (submission.isJob) {
-        submission.job = answer.job;
         if (answer.error == ErrorKind::Ok && !answer.job.empty())
-            m_jobs.push_back(answer.job);
+            m_jobs.push_back({ answer.job, submission.caller, answer.durable });
         return;
     }
     const std::string& payload = submission.payload;
@@ -115,6 +114,32 @@
             + " ms after its scheduler was told that it leaves");
 }
 
+/** A caller asks for a job after the faults. @param answer Status of the job. */
+void Checks::jobStatus(const AnswerMessage& answer)
+{
+    const bool isOver = answer.status && answer.status->phase > JobPhase::Running;
+    // A job that was accepted in memory only is forgotten when its owner dies before the store is back.
+    const auto asked = m_askedJobs.find(answer.job);
+    if (asked != m_askedJobs.end() && (isOver || (answer.error == ErrorKind::NotFound && !asked->second)))
+        m_askedJobs.erase(asked);
+    if (isOver)
+        ++m_counts[std::string("jobs ended as ") + jobPhaseName(answer.status->phase)];
+    else
+        ++m_counts[std::string("last job queries: ") + std::string(errorInfo(answer.error).name)];
+}
+
+/** The run is over. @param liveProcesses Runs of schedulers that still live. */
+void Checks::settled(const std::set<std::string>& liveProcesses)
+{
+    if (!m_askedJobs.empty())
+        fail("liveness: " + std::to_string(m_askedJobs.size()) + " accepted jobs have no known end, the first is "
+            + m_askedJobs.begin()->first.value);
+    for (const auto& [label, submission] : m_submissions) {
+        if (!submission.isDone && liveProcesses.contains(submission.process))
+            fail("liveness: " + label + " (" + submission.payload + ") got no answer from " + submission.process);
+    }
+}
+
 /** A process announces its bundle. @param process Host and incarnation. @param version Version. */
 void Checks::bundleAnnounced(const std::string& process, BundleVersion version)
 {
--- a/src/soak/checks.h
+++ b/src/soak/checks.h
@@ -12,14 +12,22 @@
 
 namespace sp::soak {
 
+/** A job that was accepted. */
+struct AcceptedJob {
+    JobId id;
+    CallerId caller;
+    bool isDurable = false;
+};
+
 /** What callers know of one submission. */
 struct Submission {
     std::string payload; ///< Equal for all submissions of one key.
     bool isKeyed = false;
     bool isJob = false;
     bool isDone = false;
+    CallerId caller;
     Time submittedAt {};
-    JobId job; ///< Of an accepted job.
+    std::string process; ///< Run of the scheduler that took it; with its end the caller gets no answer.
 };
 
 /** Collects observations and keeps the first violation. */
@@ -36,19 +44,23 @@
     void shardHolders(const ShardId& shard, const std::vector<std::string>& firm);
     void startSent(const TargetId& target, const std::optional<Duration>& sinceToldLeaving);
     void bundleAnnounced(const std::string& process, BundleVersion version);
+    void jobAsked(const AcceptedJob& job) { m_askedJobs[job.id] = job.isDurable; }
+    void jobStatus(const AnswerMessage& answer);
+    void settled(const std::set<std::string>& liveProcesses);
     void drained(const std::string& process, std::size_t callsInFlight);
     void fail(const std::string& text);
 
     const std::string& failure() const { return m_failure; }
     std::map<std::string, std::uint64_t>& counts() { return m_counts; }
-    const std::vector<JobId>& acceptedJobs() const { return m_jobs; }
+    const std::vector<AcceptedJob>& acceptedJobs() const { return m_jobs; }
     const std::map<std::string, Submission>& submissions() const { return m_submissions; }
 
 private:
     std::string m_failure;
     std::map<std::string, std::uint64_t> m_counts;
     std::map<std::string, Submission> m_submissions; ///< Open ones; ended ones keep only what later checks need.
-    std::vector<JobId> m_jobs;
+    std::vector<AcceptedJob> m_jobs;
+    std::map<JobId, bool> m_askedJobs; ///< Jobs whose end is not known when the run is over; whether they are durable.
     std::unordered_map<std::string, std::uint32_t> m_runs; ///< Starts of each payload or task.
     std::unordered_map<std::string, std::uint32_t> m_submissionsOf; ///< Submissions of each payload.
     std::set<std::string> m_notRun; ///< Payloads of requests that were told not_run.
--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -53,14 +53,12 @@
 /** Ends a fault after some time, unless all are healed before. */
 void FaultPlan::during(Duration length, const std::function<void()>& end)
 {
-    ++m_open;
-    m_world.noteCalm(false);
+    m_world.noteFault();
     m_world.timeline().after(length, [this, end, epoch = m_epoch] {
         if (epoch != m_epoch)
             return;
         end();
-        if (--m_open == 0)
-            m_world.timeline().after(seconds(10), [this] { m_world.noteCalm(m_open == 0); });
+        m_world.noteFault();
     });
 }
 
@@ -269,7 +267,6 @@
 {
     m_world.timeline().trace("all faults end");
     ++m_epoch;
-    m_open = 0;
     m_world.faults() = {};
 }
 
--- a/src/soak/fault_plan.h
+++ b/src/soak/fault_plan.h
@@ -36,7 +36,6 @@
     World& m_world;
     Load& m_load;
     std::uint64_t m_wait = 500; ///< Steps until the next fault.
-    std::uint64_t m_open = 0; ///< Faults in force.
     std::uint64_t m_epoch = 0; ///< Grows when all faults are healed; ends of older faults have no effect then.
     std::uint64_t m_targets = 100;
 };
--- a/src/soak/load.cpp
+++ b/src/soak/load.cpp
@@ -114,7 +114,8 @@
     const std::uint64_t runTime = fnvHash(payload) % 50 == 0 ? 1500 : 5 + fnvHash(payload) % 60;
     payload += "|" + std::to_string(runTime);
     event.payload = std::make_shared<const std::string>(payload);
-    m_world.checks().submitted(event.route.link, { payload, isKeyed, false, false, time.now(), {} });
+    m_world.checks().submitted(
+        event.route.link, { payload, isKeyed, false, false, event.caller, time.now(), nameOf(process) });
     m_world.deliver(process, event);
 }
 
@@ -138,7 +139,8 @@
     const std::string payload
         = (event.spec.workload.value == "pay" ? "n:" : "i:") + ("job" + number) + "|" + std::to_string(runTime);
     event.spec.payload = std::make_shared<const std::string>(payload);
-    m_world.checks().submitted(event.route.link, { payload, !event.key.empty(), true, false, time.now(), {} });
+    m_world.checks().submitted(
+        event.route.link, { payload, !event.key.empty(), true, false, event.spec.caller, time.now(), nameOf(process) });
     m_world.deliver(process, event);
 }
 
@@ -166,12 +168,50 @@
     JobCommanded event;
     event.id = RequestId("q" + std::to_string(++m_sequence));
     event.route = ReplyRoute { "query:" };
-    event.job = jobs[jobs.size() - 1 - time.below(std::min<std::size_t>(jobs.size(), 10))];
+    const AcceptedJob& job = jobs[jobs.size() - 1 - time.below(std::min<std::size_t>(jobs.size(), 10))];
+    event.job = job.id;
+    event.caller = job.caller;
     event.verb = time.chance(0.2) ? JobCommanded::Verb::Cancel : JobCommanded::Verb::Query;
     event.wait = milliseconds(time.chance(0.5) ? 1000 : 0);
     m_world.deliver(*process, event);
 }
 
+std::string Load::nameOf(const Process& process)
+{
+    return process.host.value + "/" + std::to_string(process.incarnation.value);
+}
+
+/** Asks for the status of all accepted jobs, at a scheduler of the job's data centre. */
+void Load::askForJobs()
+{
+    for (const AcceptedJob& job : m_world.checks().acceptedJobs()) {
+        m_world.checks().jobAsked(job);
+        for (Process& process : m_world.processes()) {
+            if (!process.node || !process.isReady || process.isDraining
+                || !job.id.value.starts_with(process.dataCentre.value + "."))
+                continue;
+            JobCommanded event;
+            event.id = RequestId("last" + std::to_string(++m_sequence));
+            event.route = ReplyRoute { "last:" + job.id.value };
+            event.job = job.id;
+            event.caller = job.caller;
+            m_world.deliver(process, event);
+            break;
+        }
+    }
+}
+
+/** Checks that all answers have come. */
+void Load::end()
+{
+    std::set<std::string> live;
+    for (const Process& process : m_world.processes()) {
+        if (process.node)
+            live.insert(nameOf(process));
+    }
+    m_world.checks().settled(live);
+}
+
 /** A burst of requests that their callers cancel at once. */
 void Load::cancelWave()
 {
--- a/src/soak/load.h
+++ b/src/soak/load.h
@@ -15,6 +15,8 @@
     void writeFirstBundle();
     void step();
     void cancelWave();
+    void askForJobs();
+    void end();
     void operatorsRace();
     std::uint64_t bundleVersion() const { return m_bundle; }
 
@@ -24,6 +26,7 @@
     void submitJob(Process& process);
     void cancelRequest(const std::string& clientId);
     void queryJob();
+    static std::string nameOf(const Process& process);
     void writeBundle(std::uint64_t version, const std::vector<std::string>& stages, bool isRaced);
 
     World& m_world;
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -11,6 +11,7 @@
     /** Time in which everything must have settled after the last fault: 35 s for the drain of a process in progress and
      * its restart, 5 s for the backoff, 3 s for old leases, and the run times of the queued jobs. */
     constexpr std::uint64_t settleSteps = 9000;
+    constexpr std::uint64_t answerSteps = 1000; ///< The last queries for jobs are sent this long before the end.
 
     std::string quantiles(const std::string& name, std::vector<Duration> times)
     {
@@ -26,9 +27,12 @@
     void settle(World& world, Load& load, FaultPlan& plan, std::uint64_t& step)
     {
         plan.healAll();
-        for (std::uint64_t i = 0; i < settleSteps && world.checks().failure().empty(); ++i, ++step)
+        for (std::uint64_t i = 0; i < settleSteps && world.checks().failure().empty(); ++i, ++step) {
+            if (i + answerSteps == settleSteps)
+                load.askForJobs();
             world.step();
-        (void)load;
+        }
+        load.end();
         std::string unowned;
         for (const std::string& shard : world.unownedShards())
             unowned += " " + shard;
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -315,6 +315,12 @@
     }
     m_time.trace(process.host.value + " answers " + sent.route.link + ": "
         + std::string(errorInfo(sent.answer.error).name) + " " + sent.answer.detail);
+    if (sent.route.link.starts_with("last:")) {
+        AnswerMessage status = sent.answer;
+        status.job = JobId(sent.route.link.substr(5));
+        m_checks.jobStatus(status);
+        return;
+    }
     m_checks.answered(sent.route.link, sent.answer);
 }
 
@@ -357,9 +363,10 @@
             }
             if (isStore && it->second != Time()) {
                 const Duration took = m_time.now() - it->second;
+                const bool isCalm = isCalmSince(it->second);
                 m_time.trace(shard.value + " is served again after " + std::to_string(toMs(took)) + " ms"
-                    + (m_isCalm ? ", calm" : ""));
-                if (m_isCalm)
+                    + (isCalm ? ", calm" : ""));
+                if (isCalm)
                     m_takeovers.push_back(took);
                 it->second = Time();
             }
@@ -367,6 +374,19 @@
     }
 }
 
+/** Whether no fault but crashes and drains of schedulers was in force from 10 s before a time until now. @param since
+ * Time. @return True if so. */
+bool World::isCalmSince(Time since) const
+{
+    const bool isFaulty = m_faults.storeDown || m_faults.storeSlow || m_faults.storeAnswerLoss > 0
+        || m_faults.storeLateWrite > 0 || m_faults.messageLoss > 0 || m_faults.messageDelay > 0
+        || m_faults.connectionSilent > 0 || !m_faults.cutFromStore.empty() || !m_faults.cutLinks.empty()
+        || !m_faults.cutTargets.empty();
+    const bool isPaused
+        = std::any_of(m_processes.begin(), m_processes.end(), [](const Process& process) { return process.isPaused; });
+    return !isFaulty && !isPaused && (m_lastFault == Time() || since - m_lastFault > std::chrono::seconds(10));
+}
+
 /** @return Shards without an owner at level store. */
 std::vector<std::string> World::unownedShards() const
 {
--- a/src/soak/world.h
+++ b/src/soak/world.h
@@ -84,7 +84,8 @@
     void writeHostEntry(const FakeTarget& target);
     std::vector<std::string> unownedShards() const;
     std::vector<Duration>& takeovers() { return m_takeovers; }
-    void noteCalm(bool isCalm) { m_isCalm = isCalm; }
+    void noteFault() { m_lastFault = m_time.now(); }
+    bool isCalmSince(Time since) const;
 
 private:
     Process* find(const HostId& host);
@@ -129,7 +130,7 @@
     std::map<DataCentreId, std::vector<ShardId>> m_shards;
     std::map<ShardId, Time> m_unownedSince;
     std::vector<Duration> m_takeovers; ///< From the loss of an owner in calm conditions to the next at level store.
-    bool m_isCalm = true; ///< No fault but crashes since the last change of this mark.
+    Time m_lastFault {}; ///< Begin or end of the last fault that is not a crash or a drain.
     std::uint64_t m_epochs = 0;
     std::uint64_t m_lastIncarnation = 0;
     std::uint64_t m_step = 0;
