--- a/src/prompt_service.h
+++ b/src/prompt_service.h
@@ -69,6 +69,7 @@
     struct Shard {
         SlotPool pool;
         bool owned = false;
+        bool complete = false; ///< Every instance has answered since the shard was gained.
         Time gainedAt {}; ///< When the present hold was won.
         std::map<TargetId, Time>
             answered; ///< Targets that have answered under the present term, with the report's time.
