--- a/src/log.cpp
+++ b/src/log.cpp
@@ -17,6 +17,7 @@
     struct Line {
         LogPart part;
         LogLevel level;
+        std::chrono::system_clock::time_point at; ///< When the line was handed over.
         std::string text;
     };
 
