--- a/src/prompt_service.h
+++ b/src/prompt_service.h
@@ -70,7 +70,7 @@
         SlotPool pool;
         bool owned = false;
         bool complete = false; ///< Every instance has answered since the shard was gained.
-        Time gainedAt {};
+        Time gainedAt {}; ///< When the present hold was won.
         std::map<TargetId, Time>
             answered; ///< Targets that have answered under the present term, with the report's time.
         std::map<TargetId, std::set<RequestId>> foreign; ///< Requests of an earlier owner that still run.
