Fix: choose shards by the demand they see instead of their free slots

Cause: at 20 ms of run time an announcement is 12 (far: 50) run times old. The correction for what was sent drained at the whole service rate, so it vanished, and all hosts sent to the same shard until the next announcement. A first change that smoothed the own sending over 200 ms still swung: hosts kept sending to a shard for that long after it was full (trace of busy slots each 50 ms). Change: the shard announces the demand it sees (SlotLoad::demand); the selector adds by how much its own sending has changed, once for each host that sees the same announcement, lets the backlog grow and shrink with it, and allows for its own uncertainty. Changes in the own data centre are damped by a half.

--- a/src/shard_selector.cpp
+++ b/src/shard_selector.cpp
@@ -1,6 +1,7 @@
 #include "shard_selector.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sp {
 
@@ -12,6 +13,15 @@
     /** An entry that is not announced for this time is dropped. */
     constexpr Duration forgetAfter = std::chrono::seconds(60);
 
+    /**
+     * Changes in the own data centre count for more than its hosts: with a gain of one the shards there swung between
+     * idle and full from one announcement to the next.
+     */
+    constexpr double nearDamping = 2;
+
+    /** Standard deviations of a Poisson number that the estimate of busy slots is taken to be off by. */
+    constexpr double uncertainty = 2;
+
     /** Next number of a splitmix64 sequence. */
     std::uint64_t nextRandom(std::uint64_t& state)
     {
@@ -71,8 +81,27 @@
         it = entries.insert(entries.end(), Entry {});
     else if (load.term < it->term)
         return;
-    *it = { load.shard, owner, load.term, load.level, load.slots, roundTrip, sameDataCentre, now,
-        releaseInterval(load.slots), 0, now };
+    Entry fresh;
+    fresh.shard = load.shard;
+    fresh.owner = owner;
+    fresh.term = load.term;
+    fresh.level = load.level;
+    fresh.load = load.slots;
+    fresh.roundTrip = roundTrip;
+    fresh.sameDataCentre = sameDataCentre;
+    fresh.reportedAt = now;
+    fresh.interval = releaseInterval(load.slots);
+    fresh.busy = load.slots.slotsTotal - std::min<double>(load.slots.slotsFree, load.slots.slotsTotal);
+    fresh.demand = load.slots.demand > 0 ? load.slots.demand : fresh.busy;
+    fresh.backlog = static_cast<double>(load.slots.expectedWait.count()) / fresh.interval;
+    update(*it, now);
+    fresh.sent = it->sent;
+    fresh.sentReported = it->sent.slots(now);
+    fresh.own = fresh.ownReported = it->own;
+    fresh.updatedAt = now;
+    *it = std::move(fresh);
+    m_owners[owner] = { sameDataCentre, now };
+    countSenders(now);
 }
 
 /** Drops all loads that a host has announced. @param owner Host. */
@@ -81,6 +110,7 @@
     for (auto& [service, entries] : m_services)
         std::erase_if(entries, [&](const Entry& entry) { return entry.owner == owner; });
     std::erase_if(m_services, [](const auto& service) { return service.second.empty(); });
+    m_owners.erase(owner);
 }
 
 /**
@@ -99,15 +129,16 @@
     for (Entry& entry : found->second) {
         if (!usable(entry, now))
             continue;
-        drain(entry, now);
-        m_candidates.push_back(candidate(entry));
+        update(entry, now);
+        m_candidates.push_back(candidate(entry, now));
         m_usable.push_back(&entry);
     }
     if (m_usable.empty())
         return std::nullopt;
     const std::size_t index = m_picker(m_candidates, nextRandom(m_random));
     Entry& entry = *m_usable[index];
-    entry.sent += 1;
+    entry.own += 1;
+    entry.sent.add(Duration(static_cast<Duration::rep>(entry.runTime())), now);
     const ShardCandidate& picked = m_candidates[index];
     return ShardChoice { entry.shard, entry.owner,
         "expected wait " + std::to_string(toMs(picked.wait)) + " ms, round trip "
@@ -121,24 +152,59 @@
     return age <= (entry.sameDataCentre ? staleNear : staleFar) && mayStart(entry.level) && entry.load.slotsTotal > 0;
 }
 
-/** Takes off what the shard is expected to have worked off of the requests sent since the announcement. */
-void ShardSelector::drain(Entry& entry, Time now)
+/** Takes off the own requests that are expected to have ended, and lets the backlog grow or shrink with the demand. */
+void ShardSelector::update(Entry& entry, Time now) const
+{
+    const double elapsed = static_cast<double>((now - entry.updatedAt).count());
+    if (const double runTime = entry.runTime(); elapsed > 0 && runTime > 0) {
+        entry.own *= std::exp(-elapsed / runTime);
+        const double surplus = demandNow(entry) - entry.load.slotsTotal;
+        entry.backlog = std::max(0.0, entry.backlog + surplus * elapsed / runTime);
+    }
+    entry.updatedAt = now;
+}
+
+/**
+ * Slots wanted from a shard now: as announced, and by how much more or less this selector sends since. Other hosts see
+ * the same announcement and change what they send in the same way, so the change counts once for each of them. What is
+ * sent now is not smoothed: a lag of 200 ms made the hosts go on sending to a shard that was already full.
+ */
+double ShardSelector::demandNow(const Entry& entry) const
+{
+    const double senders = entry.sameDataCentre ? m_nearSenders : m_farSenders;
+    return std::max(0.0, entry.demand + (entry.own - entry.sentReported) * senders);
+}
+
+/**
+ * An announcement as a picker sees it, brought up to the present. The slots that were busy by chance at the
+ * announcement are free after a run time, so the demand counts more as the announcement gets older.
+ */
+ShardCandidate ShardSelector::candidate(const Entry& entry, Time now) const
 {
-    const double released = static_cast<double>((now - entry.drainedAt).count()) / entry.interval;
-    entry.sent = std::max(0.0, entry.sent - released);
-    entry.drainedAt = now;
+    const double slots = entry.load.slotsTotal;
+    const double fade = std::exp(-static_cast<double>((now - entry.reportedAt).count()) / entry.runTime());
+    const double busy
+        = demandNow(entry) + (entry.busy - entry.demand - (entry.ownReported - entry.sentReported)) * fade;
+    // Arrivals and ends since the announcement are random; the expected queue of a nearly full shard is not zero.
+    const double deviation = uncertainty * std::sqrt(slots * (1 - fade * fade));
+    const double excess = busy - slots;
+    const double ratio = deviation > 0 ? excess / deviation : 0;
+    const bool isRandom = deviation > 0 && ratio < 20;
+    const double queue = isRandom ? deviation * std::log1p(std::exp(ratio)) : std::max(0.0, excess);
+    const auto wait = Duration(static_cast<Duration::rep>((entry.backlog + queue) * entry.interval));
+    const double announcedRoom = (static_cast<double>(entry.load.slotsFree) - entry.load.queued) / slots;
+    return { wait, entry.roundTrip, entry.load.expectedWait, (slots - busy - entry.backlog) / slots, announcedRoom,
+        entry.sameDataCentre };
 }
 
-/** An announcement as a picker sees it. */
-ShardCandidate ShardSelector::candidate(const Entry& entry)
+/** Counts the hosts that send as this one does; of those in other data centres about half have no need to. */
+void ShardSelector::countSenders(Time now)
 {
-    const SlotLoad& load = entry.load;
-    const double free = load.slotsFree;
-    const double waiting = std::max(0.0, entry.sent - free);
-    const auto added = Duration(static_cast<Duration::rep>(waiting * entry.interval));
-    const double announced = (free - load.queued) / load.slotsTotal;
-    return { load.expectedWait + added, entry.roundTrip, load.expectedWait, announced - entry.sent / load.slotsTotal,
-        announced, entry.sameDataCentre };
+    std::erase_if(m_owners, [now](const auto& owner) { return now - owner.second.seenAt > staleFar; });
+    const auto near = static_cast<double>(
+        std::count_if(m_owners.begin(), m_owners.end(), [](const auto& owner) { return owner.second.sameDataCentre; }));
+    m_nearSenders = nearDamping * std::max(1.0, near);
+    m_farSenders = std::max(1.0, (near + static_cast<double>(m_owners.size())) / 2);
 }
 
 /**
--- a/src/shard_selector.h
+++ b/src/shard_selector.h
@@ -71,14 +71,32 @@
         bool sameDataCentre = false;
         Time reportedAt {};
         double interval = 0; ///< Expected time between two releases of slots, in nanoseconds.
-        double sent = 0; ///< Requests sent since the announcement and not yet worked off, by expectation.
-        Time drainedAt {}; ///< Time to which `sent` has been reduced.
+        double busy = 0; ///< Slots taken by the announcement.
+        double demand = 0; ///< Slots wanted by the announcement.
+        double backlog = 0; ///< Requests that are expected to wait, kept up to date.
+        RecentDemand sent {}; ///< What this selector sends, over the same time as the announced demand.
+        double sentReported = 0; ///< Slots of `sent` at the time of the announcement.
+        double own = 0; ///< Slots expected to be held by requests of this selector.
+        double ownReported = 0; ///< The same at the time of the announcement.
+        Time updatedAt {}; ///< Time to which `own` and `backlog` have been brought.
+
+        double runTime() const { return interval * load.slotsTotal; }
+    };
+    /** Owner of a shard, which is also a sender like this host. */
+    struct Owner {
+        bool sameDataCentre = false;
+        Time seenAt {};
     };
     static bool usable(const Entry& entry, Time now);
-    static void drain(Entry& entry, Time now);
-    static ShardCandidate candidate(const Entry& entry);
+    void update(Entry& entry, Time now) const;
+    double demandNow(const Entry& entry) const;
+    ShardCandidate candidate(const Entry& entry, Time now) const;
+    void countSenders(Time now);
 
     std::map<std::string, std::vector<Entry>, std::less<>> m_services;
+    std::map<HostId, Owner> m_owners;
+    double m_nearSenders = 1; ///< Hosts that are expected to send to a shard of the own data centre as this one does.
+    double m_farSenders = 1; ///< The same for another data centre.
     std::uint64_t m_random;
     ShardPicker m_picker;
     std::vector<ShardCandidate> m_candidates; ///< Of the present choice; kept to save allocations.
--- a/src/slot_pool.cpp
+++ b/src/slot_pool.cpp
@@ -160,6 +160,7 @@
     if (service.instances == 0)
         return refuse(work.id, ErrorKind::DeadlineUnmeetable, "no instance of the service");
     const Estimate expected = estimate(workload, work, now);
+    service.demand.add(service.meanRunTime(expected.length), now);
     if (expected.length == WorkLength::Short)
         service.shortDemand.add(service.meanRunTime(WorkLength::Short), now); // The median would be too low.
     if (expected.least > work.deadline - now && ++workload.tooLong % probeEvery != 0)
@@ -253,6 +254,7 @@
     load.releaseInterval = found.releaseInterval(WorkLength::Short, m_reserve, now);
     if (const std::size_t waiting = found.queue(WorkLength::Short).size(); waiting >= found.slotsFree)
         load.expectedWait = load.releaseInterval * static_cast<Duration::rep>(waiting - found.slotsFree + 1);
+    load.demand = found.demand.slots(now);
     return load;
 }
 
--- a/src/slot_pool.h
+++ b/src/slot_pool.h
@@ -33,6 +33,7 @@
     std::uint32_t queued = 0;
     Duration expectedWait {}; ///< Wait that a new request would have.
     Duration releaseInterval {}; ///< Expected time between two releases while all slots are busy, 0 if unknown.
+    double demand = 0; ///< Slots that the arrivals of the last 200 ms would keep busy, 0 if unknown.
 };
 
 /** How a request left its slot. */
--- a/src/slot_service.cpp
+++ b/src/slot_service.cpp
@@ -49,6 +49,16 @@
     return std::max(m_fast * decay(m_updatedAt, now, fastSeconds), m_slow * decay(m_updatedAt, now, slowSeconds));
 }
 
+/** Adds an arrival. @param slotTime Expected slot time. @param now Present time. */
+void RecentDemand::add(Duration slotTime, Time now)
+{
+    m_slots = slots(now) + std::chrono::duration<double>(slotTime).count() / seconds;
+    m_updatedAt = std::max(m_updatedAt, now);
+}
+
+/** Demand now. @param now Present time. @return Slots kept busy by the arrivals seen. */
+double RecentDemand::slots(Time now) const { return m_slots * decay(m_updatedAt, now, seconds); }
+
 /**
  * Slots that long work can't take; at least one slot stays open to it.
  * @param range Bounds from the bundle.
@@ -59,8 +69,8 @@
 {
     if (slotsTotal == 0)
         return 0;
-    const double demand = shortDemand.slots(now);
-    const double wanted = demand + reserveDeviations * std::sqrt(demand);
+    const double shorts = shortDemand.slots(now);
+    const double wanted = shorts + reserveDeviations * std::sqrt(shorts);
     const double least = range.min * slotsTotal;
     const double bounded = std::clamp(wanted, least, std::max(least, range.max * slotsTotal));
     return std::min(static_cast<std::uint32_t>(std::ceil(bounded)), slotsTotal - 1);
--- a/src/slot_service.h
+++ b/src/slot_service.h
@@ -37,6 +37,19 @@
     Time m_updatedAt {};
 };
 
+/** Demand in slots over the last moments, as a shard announces it and a selector counts what it sends. */
+class RecentDemand {
+public:
+    static constexpr double seconds = 0.2; ///< Smooths single arrivals, but shorter than the time of an announcement.
+
+    void add(Duration slotTime, Time now);
+    double slots(Time now) const;
+
+private:
+    double m_slots = 0;
+    Time m_updatedAt {};
+};
+
 /** Reserve for short work as shares of all slots. */
 struct ReserveRange {
     double min = 0;
@@ -54,6 +67,7 @@
     std::array<FairQueue, workLengths> queues; ///< By WorkLength.
     std::array<RunTimeMean, workLengths> runTimes; ///< By WorkLength as it turned out.
     DemandMeter shortDemand;
+    RecentDemand demand; ///< Of short and long work, refused requests included.
 
     FairQueue& queue(WorkLength length) { return queues[static_cast<std::size_t>(length)]; }
     const FairQueue& queue(WorkLength length) const { return queues[static_cast<std::size_t>(length)]; }
