--- a/src/bundle.cpp
+++ b/src/bundle.cpp
@@ -182,4 +182,16 @@
     return problems;
 }
 
+/** Fills in the lines of problems that concern one key of a section without a name. @param text Text. @param problems
+ * Problems. */
+void locateProblems(const std::string& text, std::vector<TextProblem>& problems)
+{
+    const Ini ini = Ini::parse(text, bundleKeys);
+    for (TextProblem& problem : problems) {
+        const auto dot = problem.key.find('.');
+        if (problem.line == 0 && dot != std::string::npos)
+            problem.line = ini.lineOf(problem.key.substr(0, dot), problem.key.substr(dot + 1));
+    }
+}
+
 } // namespace sp
--- a/src/bundle.h
+++ b/src/bundle.h
@@ -15,6 +15,7 @@
 
 BundleParse parseBundle(const std::string& text);
 std::vector<TextProblem> checkSuccession(const Bundle& earlier, const Bundle& later);
+void locateProblems(const std::string& text, std::vector<TextProblem>& problems);
 std::string sha256Hex(const std::string& text);
 
 } // namespace sp
--- a/src/ini_text.cpp
+++ b/src/ini_text.cpp
@@ -168,13 +168,17 @@
  * remedy What is expected. */
 void Ini::addProblem(const std::string& section, const std::string& key, std::string problem, std::string remedy)
 {
-    int line = 0;
-    if (const auto it = m_sections.find(splitTitle(section)); it != m_sections.end()) {
-        line = it->second.line;
-        if (const auto entry = it->second.entries.find(key); entry != it->second.entries.end())
-            line = entry->second.line;
-    }
-    m_problems.push_back({ line, section + "." + key, std::move(problem), std::move(remedy) });
+    m_problems.push_back({ lineOf(section, key), section + "." + key, std::move(problem), std::move(remedy) });
+}
+
+/** @param title Title of a section. @param key Key. @return Line of the key, else of its section, else 0. */
+int Ini::lineOf(const std::string& title, const std::string& key) const
+{
+    const auto it = m_sections.find(splitTitle(title));
+    if (it == m_sections.end())
+        return 0;
+    const auto entry = it->second.entries.find(key);
+    return entry == it->second.entries.end() ? it->second.line : entry->second.line;
 }
 
 void Ini::take(const std::string& title, const std::string& key, const std::string& value, int line)
--- a/src/ini_text.h
+++ b/src/ini_text.h
@@ -22,6 +22,7 @@
 
     const std::vector<TextProblem>& problems() const { return m_problems; }
     void addProblem(const std::string& section, const std::string& key, std::string problem, std::string remedy);
+    int lineOf(const std::string& title, const std::string& key) const;
     bool hasSection(const std::string& kind, const std::string& name = {}) const;
     std::vector<std::string> sectionNames(const std::string& kind) const;
     bool isGiven(const std::string& kind, const std::string& name, const std::string& key) const;
