--- a/tests/test_bundle_store.cpp
+++ b/tests/test_bundle_store.cpp
@@ -5,6 +5,7 @@
 #include "soak/fake_store.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <cstdlib>
 #include <deque>
@@ -366,6 +367,8 @@
     int m_turn = -1;
 };
 
+std::atomic<std::uint64_t> lastToken = 0; ///< Tokens are unique over all operators and races.
+
 /** Runs two operators against one store; each call may be refused, lost, or lost and take effect later. */
 std::array<BundleResult, 2> race(
     Store& store, std::uint64_t seed, const std::function<BundleResult(BundleStore&, int)>& work)
@@ -385,9 +388,8 @@
     };
     std::array<BundleResult, 2> results;
     const auto run = [&](int id) {
-        int sequence = 0;
         BundleStore bundles({ { [&, id](const StoreRequest& request) { return call(id, request); } },
-            [&, id] { return std::to_string(id) + "-" + std::to_string(++sequence); },
+            [id] { return std::to_string(id) + "-" + std::to_string(++lastToken); },
             [](std::chrono::milliseconds) {} });
         results[static_cast<std::size_t>(id)] = work(bundles, id);
         turns.finish(id);
