--- a/src/prompt_service.h
+++ b/src/prompt_service.h
@@ -60,6 +60,7 @@
     /** What is known of an idempotency key. */
     struct KeyEntry {
         std::string digest;
+        ShardId shard;
         RequestId runId;
         std::optional<AnswerMessage> answer; ///< Set once known.
         Time expires {};
@@ -68,6 +69,8 @@
     struct Shard {
         SlotPool pool;
         bool owned = false;
+        bool complete = false; ///< Every instance has answered since the shard was gained.
+        Time gainedAt {};
         std::map<TargetId, Time>
             answered; ///< Targets that have answered under the present term, with the report's time.
         std::map<TargetId, std::set<RequestId>> foreign; ///< Requests of an earlier owner that still run.
@@ -87,6 +90,7 @@
     void finish(const RequestId& runId, AnswerMessage answer, Time now);
     void retryOrRefuse(const RequestId& runId, CallEnd how, Time now);
     void writeOutcome(const Request& request, const AnswerMessage& answer);
+    bool allAnswered(const ShardId& shardId) const;
     void dispatch(const ShardId& shardId, Time now);
     void rememberFinished(const RequestId& runId, Time now);
     std::string runsKey(const Request& request) const;
