--- a/src/bundle_roll.cpp
+++ b/src/bundle_roll.cpp
@@ -97,8 +97,7 @@
         rollOut.head = *head->head;
         return std::nullopt;
     }
-    HeadRead unused;
-    if (auto refusal = checkAgainstHead(parse, text->front().value, unused))
+    if (auto refusal = checkAgainstHead(parse, text->front().value, *head))
         return refusal;
     rollOut.head = firstHead(rollOut.bundle, head->head);
     return std::nullopt;
--- a/src/bundle_store.cpp
+++ b/src/bundle_store.cpp
@@ -241,16 +241,12 @@
 
 /** Checks a text by itself and against the head. @return Refusal, absent if there is nothing to complain of. */
 std::optional<BundleResult> BundleStore::checkAgainstHead(
-    const BundleParse& parse, const std::string& text, HeadRead& head)
+    const BundleParse& parse, const std::string& text, const HeadRead& head)
 {
     BundleResult result { BundleOutcome::Refused, {}, {}, "The bundle has errors.", parse.problems };
     if (!parse.bundle)
         return result;
     result.version = parse.bundle->version;
-    const auto current = readHead();
-    if (!current)
-        return notWritten(Commit::StoreUnreached, result.version);
-    head = *current;
     if (head.malformed)
         return refused(result.version, std::string("The value of ") + bundleHeadKey + " is malformed.");
     if (!head.head)
@@ -274,12 +270,16 @@
 BundleResult BundleStore::propose(const std::string& text, const std::string& proposer, const std::string& at)
 {
     const BundleParse parse = parseBundle(text);
-    HeadRead head;
     if (!isOperatorName(proposer))
         return refused({}, "'" + proposer + "' is no operator name: letters, digits and - _ . @ are allowed.");
-    if (auto refusal = checkAgainstHead(parse, text, head))
-        return *refusal;
+    if (!parse.bundle)
+        return { BundleOutcome::Refused, {}, {}, "The bundle has errors.", parse.problems };
     const BundleVersion version = parse.bundle->version;
+    const auto head = readHead();
+    if (!head)
+        return notWritten(Commit::StoreUnreached, version);
+    if (auto refusal = checkAgainstHead(parse, text, *head))
+        return *refusal;
     const auto counter = read(highestKey);
     if (!counter)
         return notWritten(Commit::StoreUnreached, version);
@@ -338,8 +338,10 @@
             "Approved already by " + proposal->approver + " at " + proposal->approvedAt + ".", {} };
     if (lower(proposal->proposer) == lower(approver))
         return refused(version, "The proposer can't approve; another operator has to.");
-    HeadRead head;
-    if (auto refusal = checkAgainstHead(parseBundle(proposal->text), proposal->text, head))
+    const auto head = readHead();
+    if (!head)
+        return notWritten(Commit::StoreUnreached, version);
+    if (auto refusal = checkAgainstHead(parseBundle(proposal->text), proposal->text, *head))
         return *refusal;
     const std::string token = m_hooks.newToken();
     proposal->approver = approver;
--- a/src/bundle_store.h
+++ b/src/bundle_store.h
@@ -111,7 +111,8 @@
     BundleResult notWritten(Commit commit, BundleVersion version) const;
     BundleResult proposalBeaten(BundleVersion version);
     BundleResult headBeaten(BundleVersion version);
-    std::optional<BundleResult> checkAgainstHead(const BundleParse& parse, const std::string& text, HeadRead& head);
+    std::optional<BundleResult> checkAgainstHead(
+        const BundleParse& parse, const std::string& text, const HeadRead& head);
     std::optional<BundleResult> beginRoll(BundleVersion version, RollOut& rollOut);
     std::optional<BundleResult> writeHead(RollOut& rollOut, const std::string& state);
     std::optional<std::string> watchStage(
