--- a/src/task_placing.cpp
+++ b/src/task_placing.cpp
@@ -47,8 +47,13 @@
         placeFair(borrowers, true, round, now);
         updateReservation(now);
     }
-    for (TaskStop& stop : m_pendingStops)
-        round.stops.push_back(std::move(stop));
+    for (TaskStop& stop : m_pendingStops) {
+        // The task may have ended since, and may even have started again: that run must not be stopped.
+        std::uint32_t index = 0;
+        const Job* job = findTask(stop.task, index);
+        if (job && job->tasks[index].stopping && m_pool.workers()[job->tasks[index].worker].info.id == stop.worker)
+            round.stops.push_back(std::move(stop));
+    }
     m_pendingStops.clear();
     for (std::string& note : m_notes)
         round.notes.push_back(std::move(note));
@@ -113,13 +118,7 @@
             ++i;
             continue;
         }
-        m_claims.erase(m_claims.begin() + static_cast<std::ptrdiff_t>(i));
-        m_pool.dropClaim(claim.worker, claim.size);
-        --m_queuedTasks;
-        if (!job)
-            continue;
-        requeueTask(*job, claim.index);
-        if (fits)
+        if (dropClaim(i) && fits)
             start(*job, claim.index, claim.worker, claim.size, "room of stopped work", round, now);
     }
 }
@@ -326,7 +325,8 @@
     for (const TaskKey& victim : choice.victims)
         stopTask(victim, true, why, round);
     m_pool.addClaim(choice.worker, size);
-    m_claims.push_back({ job.serial, index, choice.worker, size, now });
+    m_quota.charge(job.team, size);
+    m_claims.push_back({ job.serial, job.team, index, choice.worker, size, now });
     job.reason = "waits for the end of tasks that are being stopped";
     takeFromQueue(job, index);
     ++m_queuedTasks; // It still waits, but in no lane.
