--- a/examples/cell.sh
+++ b/examples/cell.sh
@@ -168,38 +168,15 @@
     echo "$list"
 }
 
-base64_of() { printf %s "$1" | base64 -w 0; }
-
-json_string() {
-    local text=${1//\\/\\\\}
-    text=${text//\"/\\\"}
-    printf '"%s"' "${text//$'\n'/\\n}"
-}
-
-# store_put KEY VALUE
-store_put() {
-    curl -s -m 5 -f "http://$store/v3/kv/put" -d "{\"key\":\"$(base64_of "$1")\",\"value\":\"$(base64_of "$2")\"}" \
-        > /dev/null || fail "the store did not take $1"
-}
-
-# roll_bundle FILE VERSION PREVIOUS PREVIOUS_DIGEST DATA_CENTRES: proposes, approves and rolls a bundle by the keys of
-# the design page. Sets digest.
+# roll_bundle FILE VERSION PREVIOUS: proposes, approves and rolls a bundle. The first one is rolled without health
+# figures, since no process is ready before it.
 roll_bundle() {
-    local text proposal when dc stages= state
-    text=$(cat "$1"; echo x) && text=${text%x}
-    digest=$(printf %s "$text" | sha256sum | cut -d ' ' -f 1)
-    when=$(date -u +%Y-%m-%dT%H:%M:%SZ)
-    proposal="{\"text\":$(json_string "$text"),\"digest\":\"$digest\",\"proposer\":\"operator-a\",\"proposed_at\":\"$when\""
-    store_put "/sp/bundle/proposal/$2" "$proposal,\"approver\":\"\",\"approved_at\":\"\",\"token\":\"p$2\"}"
-    store_put "/sp/bundle/proposal/$2" \
-        "$proposal,\"approver\":\"operator-b\",\"approved_at\":\"$when\",\"token\":\"a$2\"}"
-    store_put "/sp/bundle/v/$2" "$text"
-    for dc in $5; do
-        stages+=${stages:+,}\"$dc\"
-        state=rolling
-        store_put /sp/live/bundle "{\"version\":$2,\"digest\":\"$digest\",\"previous\":$3,\"previous_digest\":\"$4\",\"stages\":[$stages],\"state\":\"$state\",\"token\":\"r$2-$dc\"}"
-    done
-    store_put /sp/live/bundle "{\"version\":$2,\"digest\":\"$digest\",\"previous\":$3,\"previous_digest\":\"$4\",\"stages\":[$stages],\"state\":\"in_force\",\"token\":\"f$2\"}"
+    local watch=--unwatched admins
+    admins=$(IFS=,; echo "${admin_of[*]}")
+    (($3 > 0)) && watch=--admin=$admins
+    "$bin/spctl" propose "$1" --store "$store" --operator operator-a > /dev/null || fail "bundle $2 was not proposed"
+    "$bin/spctl" approve "$2" --store "$store" --operator operator-b > /dev/null || fail "bundle $2 was not approved"
+    "$bin/spctl" roll "$2" --store "$store" "$watch" > /dev/null || fail "bundle $2 was not rolled out"
 }
 
 # wait_bundle VERSION SECONDS: waits until every scheduler applies the version.
--- a/src/bundle.cpp
+++ b/src/bundle.cpp
@@ -140,8 +140,12 @@
 {
     Ini ini = Ini::parse(text, bundleKeys);
     checkWhole(ini);
-    if (!ini.problems().empty())
-        return { std::nullopt, ini.problems() };
+    if (!ini.problems().empty()) {
+        std::vector<TextProblem> problems = ini.problems();
+        std::stable_sort(problems.begin(), problems.end(),
+            [](const TextProblem& left, const TextProblem& right) { return left.line < right.line; });
+        return { std::nullopt, std::move(problems) };
+    }
     Bundle bundle;
     bundle.version = BundleVersion(static_cast<std::uint64_t>(ini.integer("bundle", "", "version")));
     bundle.author = ini.text("bundle", "", "author");
--- a/src/bundle_roll.cpp
+++ b/src/bundle_roll.cpp
@@ -125,15 +125,15 @@
 std::optional<std::string> BundleStore::watchStage(
     const HealthLimits& limits, const HealthCounts& before, const RollHooks& hooks)
 {
+    if (!hooks.health)
+        return std::nullopt;
     std::chrono::milliseconds waited { 0 };
     while (true) {
         const auto step = std::min(healthPoll, limits.stageTime - waited);
         m_hooks.pause(step);
         waited += step;
-        if (hooks.health) {
-            if (auto worse = worseThan(healthBetween(before, hooks.health()), limits))
-                return worse;
-        }
+        if (auto worse = worseThan(healthBetween(before, hooks.health()), limits))
+            return worse;
         if (waited >= limits.stageTime)
             return std::nullopt;
     }
--- a/src/bundle_store.h
+++ b/src/bundle_store.h
@@ -76,7 +76,7 @@
 
 /** Hooks of a roll-out. */
 struct RollHooks {
-    std::function<HealthCounts()> health; ///< Not watched if empty.
+    std::function<HealthCounts()> health; ///< If empty, the stages are neither watched nor spaced.
     std::function<void(const std::string&)> progress; ///< Takes a sentence for each step.
 };
 
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -14,7 +14,8 @@
   --operator NAME          who proposes or approves
   --admin ip:port,...      admin addresses of schedulers, for roll and explain
   --json                   output for programs
-  --unwatched              roll without health figures
+  --unwatched              roll without health figures and without pauses between stages
+  --markdown               keys as Markdown
   --version, --help
 
 Exit status: 0 done, 1 refused or failed, 2 usage, 3 another operator's change won,
--- a/src/ini_text.cpp
+++ b/src/ini_text.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstring>
 #include <ini.h>
+#include <set>
 #include <sstream>
 
 namespace sp {
@@ -15,6 +16,7 @@
     struct LineSource {
         std::istringstream stream;
         int line = 0;
+        std::vector<std::pair<std::string, int>> titles; ///< Sections with their lines; inih leaves out empty ones.
     };
 
     char* nextLine(char* buffer, int size, void* source)
@@ -24,6 +26,8 @@
         if (!std::getline(lines.stream, line))
             return nullptr;
         ++lines.line;
+        if (const auto end = line.find(']'); !line.empty() && line.front() == '[' && end != std::string::npos)
+            lines.titles.emplace_back(line.substr(1, end - 1), lines.line);
         line.resize(std::min<std::size_t>(line.size(), static_cast<std::size_t>(size) - 2));
         line += '\n';
         std::memcpy(buffer, line.c_str(), line.size() + 1);
@@ -143,7 +147,7 @@
 {
     Ini ini;
     ini.m_table = table;
-    LineSource source { std::istringstream(text), 0 };
+    LineSource source { std::istringstream(text), 0, {} };
     struct Context {
         Ini* ini;
         LineSource* source;
@@ -158,6 +162,7 @@
     else if (const int line = ini_parse_stream(nextLine, &source, handler, &context); line > 0)
         ini.m_problems.push_back({ line, "text", "is neither a section, a key nor a comment",
             "[section] or key = value, at most 190 characters" });
+    ini.addTitles(source.titles);
     ini.checkRequired();
     std::stable_sort(ini.m_problems.begin(), ini.m_problems.end(),
         [](const TextProblem& left, const TextProblem& right) { return left.line < right.line; });
@@ -203,6 +208,23 @@
     checkValue(*info, title, section.entries[key]);
 }
 
+/** Gives each section the line of its title and takes in sections without keys. @param titles Titles with lines. */
+void Ini::addTitles(const std::vector<std::pair<std::string, int>>& titles)
+{
+    std::set<SectionId> seen;
+    for (const auto& [title, line] : titles) {
+        const SectionId id = splitTitle(title);
+        if (!seen.insert(id).second)
+            continue;
+        const bool empty = !m_sections.contains(id);
+        m_sections[id].line = line;
+        const bool known
+            = std::any_of(m_table.begin(), m_table.end(), [&](const KeyInfo& row) { return row.section == id.first; });
+        if (empty && !known)
+            m_problems.push_back({ line, title, "unknown section", "a section of docs/configuration.md" });
+    }
+}
+
 void Ini::checkValue(const KeyInfo& info, const std::string& title, const Entry& entry)
 {
     const std::string& value = entry.value;
--- a/src/ini_text.h
+++ b/src/ini_text.h
@@ -46,6 +46,7 @@
 
     void take(const std::string& title, const std::string& key, const std::string& value, int line);
     void checkValue(const KeyInfo& info, const std::string& title, const Entry& entry);
+    void addTitles(const std::vector<std::pair<std::string, int>>& titles);
     void checkRequired();
     const KeyInfo* find(const std::string& kind, const std::string& key) const;
 
--- a/tests/test_bundle.cpp
+++ b/tests/test_bundle.cpp
@@ -111,7 +111,8 @@
     }
 }
 
-// Guards against an empty text that passes for a bundle of defaults.
+// Guards against an empty text that passes for a bundle of defaults, and against a section that is dropped because it
+// has no keys.
 TEST_CASE("missing sections and keys are reported")
 {
     const BundleParse empty = parseBundle("");
@@ -119,8 +120,14 @@
     CHECK(empty.problems.size() == 3);
     const BundleParse bare = parseBundle("[bundle]\n; comment\n[cell]\n[workload a]\n");
     CHECK_FALSE(bare.bundle);
-    for (const char* key : { "workload a.class" })
+    for (const char* key : { "bundle.version", "bundle.author", "cell.data_centres", "workload a.class" }) {
+        CAPTURE(key);
         CHECK(findProblem(bare, key));
+    }
+    CHECK(findProblem(bare, "workload a.class")->line == 4);
+    const BundleParse unknown = parseBundle(std::string(goodText) + "[shape]\n");
+    CHECK(findProblem(unknown, "shape"));
+    CHECK(parseBundle(std::string(goodText) + "[team spare]\n").bundle.value().teams.contains(TeamId("spare")));
 }
 
 // Guards against a successor that moves keys or targets to other shards, or lowers the version.
