--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 STEPS ?= 100000
 
-.PHONY: help deps build check demo live bench soak format lint proto sanitize fuzz
+.PHONY: help deps build check demo live bench soak format lint proto sanitize fuzz capacity
 
 help: ## lists the commands
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/'
@@ -36,3 +36,6 @@
 
 live: build ## faults of processes, store and targets against a live cell, about 3 min, SEED=n
 	@python3 tests/live_faults.py --build $(BUILD) --seed $(SEED)
+
+capacity: build ## slopes of state, CPU, bytes and store calls at three sizes; see docs/CAPACITY.md
+	@SP_BIN=$(BUILD) tools/capacity
