--- a/src/bundle_store.cpp
+++ b/src/bundle_store.cpp
@@ -56,7 +56,9 @@
 
     std::string reasonToLag(const MemberState& member, const std::optional<BundleHead>& head)
     {
-        if (!head || member.bundle >= head->version)
+        if (!head)
+            return "no bundle was rolled out yet";
+        if (member.bundle >= head->version)
             return {};
         if (member.bundle < member.wanted) {
             if (member.draining)
--- a/src/ctl/other_commands.cpp
+++ b/src/ctl/other_commands.cpp
@@ -4,6 +4,7 @@
 #include "table/bundle_keys.h"
 #include "table/settings_keys.h"
 #include "table/standin_keys.h"
+#include "table/workload_keys.h"
 
 #include <cctype>
 #include <nlohmann/json.hpp>
@@ -83,7 +84,8 @@
             + "\n\n| section | key | unit | default | range | meaning |\n|---|---|---|---|---|---|\n";
         for (const KeyInfo& info : keys) {
             const bool named = info.section == "workload" || info.section == "team" || info.section == "peer"
-                || info.section == "scheduler" || info.section == "service";
+                || info.section == "scheduler" || info.section == "service" || info.section == "phase"
+                || info.section == "work";
             text += "| `[" + std::string(info.section) + (named ? " NAME" : "") + "]` | `" + std::string(info.key)
                 + "` | " + unitText(info) + " | " + standardText(info) + " | " + rangeText(info) + " | "
                 + std::string(info.text) + " |\n";
@@ -103,6 +105,7 @@
     addTable(text, "Settings of sp-scheduler", schedulerKeys);
     addTable(text, "Settings of sp-gateway", gatewayKeys);
     addTable(text, "Settings of sp-standin", standinKeys);
+    addTable(text, "Workload file of sp-load", workloadKeys);
     return text;
 }
 
@@ -120,6 +123,7 @@
     list("sp-scheduler", schedulerKeys);
     list("sp-gateway", gatewayKeys);
     list("sp-standin", standinKeys);
+    list("sp-load", workloadKeys);
     return Exit::Done;
 }
 
