--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 STEPS ?= 100000
 
-.PHONY: help deps build check demo live bench soak format lint proto sanitize fuzz
+.PHONY: help deps build check demo live bench soak format lint proto sanitize fuzz capacity
 
 help: ## lists the commands
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/'
@@ -45,3 +45,6 @@
 
 sanitize: deps ## the tests under AddressSanitizer and UndefinedBehaviorSanitizer
 	@.ci/sanitize $(BUILD)-asan
+
+capacity: build ## slopes of state, CPU, bytes and store calls at three sizes; see docs/CAPACITY.md
+	@SP_BIN=$(BUILD) tools/capacity
--- a/src/ini_text.cpp
+++ b/src/ini_text.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstring>
 #include <ini.h>
+#include <set>
 #include <sstream>
 
 namespace sp {
@@ -16,6 +17,7 @@
         std::istringstream stream;
         int line = 0;
         std::vector<int> longLines; ///< Lines that inih would cut without a word.
+        std::vector<std::pair<std::string, int>> titles; ///< Sections with their lines; inih leaves out empty ones.
     };
 
     constexpr std::size_t maxTitle = 48; ///< inih keeps 49 characters of a section's title.
@@ -36,6 +38,8 @@
         ++lines.line;
         if (isTooLong(line, static_cast<std::size_t>(size) - 2))
             lines.longLines.push_back(lines.line);
+        if (const auto end = line.find(']'); !line.empty() && line.front() == '[' && end != std::string::npos)
+            lines.titles.emplace_back(line.substr(1, end - 1), lines.line);
         line.resize(std::min<std::size_t>(line.size(), static_cast<std::size_t>(size) - 2));
         line += '\n';
         std::memcpy(buffer, line.c_str(), line.size() + 1);
@@ -174,6 +178,7 @@
     for (const int line : source.longLines)
         ini.m_problems.push_back({ line, "text", "is too long",
             "a line of at most 190 characters, a section title of at most " + std::to_string(maxTitle) });
+    ini.addTitles(source.titles);
     ini.checkRequired();
     std::stable_sort(ini.m_problems.begin(), ini.m_problems.end(),
         [](const TextProblem& left, const TextProblem& right) { return left.line < right.line; });
@@ -184,13 +189,17 @@
  * remedy What is expected. */
 void Ini::addProblem(const std::string& section, const std::string& key, std::string problem, std::string remedy)
 {
-    int line = 0;
-    if (const auto it = m_sections.find(splitTitle(section)); it != m_sections.end()) {
-        line = it->second.line;
-        if (const auto entry = it->second.entries.find(key); entry != it->second.entries.end())
-            line = entry->second.line;
-    }
-    m_problems.push_back({ line, section + "." + key, std::move(problem), std::move(remedy) });
+    m_problems.push_back({ lineOf(section, key), section + "." + key, std::move(problem), std::move(remedy) });
+}
+
+/** @param title Title of a section. @param key Key. @return Line of the key, else of its section, else 0. */
+int Ini::lineOf(const std::string& title, const std::string& key) const
+{
+    const auto it = m_sections.find(splitTitle(title));
+    if (it == m_sections.end())
+        return 0;
+    const auto entry = it->second.entries.find(key);
+    return entry == it->second.entries.end() ? it->second.line : entry->second.line;
 }
 
 void Ini::take(const std::string& title, const std::string& key, const std::string& value, int line)
@@ -215,6 +224,23 @@
     checkValue(*info, title, section.entries[key]);
 }
 
+/** Gives each section the line of its title and takes in sections without keys. @param titles Titles with lines. */
+void Ini::addTitles(const std::vector<std::pair<std::string, int>>& titles)
+{
+    std::set<SectionId> seen;
+    for (const auto& [title, line] : titles) {
+        const SectionId id = splitTitle(title);
+        if (!seen.insert(id).second)
+            continue;
+        const bool empty = !m_sections.contains(id);
+        m_sections[id].line = line;
+        const bool known
+            = std::any_of(m_table.begin(), m_table.end(), [&](const KeyInfo& row) { return row.section == id.first; });
+        if (empty && !known)
+            m_problems.push_back({ line, title, "unknown section", "a section of docs/configuration.md" });
+    }
+}
+
 void Ini::checkValue(const KeyInfo& info, const std::string& title, const Entry& entry)
 {
     const std::string& value = entry.value;
--- a/src/ini_text.h
+++ b/src/ini_text.h
@@ -22,6 +22,7 @@
 
     const std::vector<TextProblem>& problems() const { return m_problems; }
     void addProblem(const std::string& section, const std::string& key, std::string problem, std::string remedy);
+    int lineOf(const std::string& title, const std::string& key) const;
     bool hasSection(const std::string& kind, const std::string& name = {}) const;
     std::vector<std::string> sectionNames(const std::string& kind) const;
     bool isGiven(const std::string& kind, const std::string& name, const std::string& key) const;
@@ -45,6 +46,7 @@
 
     void take(const std::string& title, const std::string& key, const std::string& value, int line);
     void checkValue(const KeyInfo& info, const std::string& title, const Entry& entry);
+    void addTitles(const std::vector<std::pair<std::string, int>>& titles);
     void checkRequired();
     const KeyInfo* find(const std::string& kind, const std::string& key) const;
 
