Add: explain follows a request to its job and the job's tasks

Cause: the question why something waited starts from a request id, but decisions about jobs, tasks and keyed runs are kept under ids of their own. Conclusion: one question answers the whole path.

--- a/src/core_context.cpp
+++ b/src/core_context.cpp
@@ -1,6 +1,7 @@
 #include "core_context.h"
 #include "log_func.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace sp {
@@ -9,40 +10,79 @@
 
     constexpr std::size_t journalSubjects = 20000; ///< At 60 starts a second this covers more than five minutes.
     constexpr std::size_t notesPerSubject = 32;
+    constexpr std::uint32_t maxDepth = 2; ///< From a request to its job to the job's tasks.
 
 } // namespace
 
-/** Writes a decision to the log and keeps it for explain. @param part Part. @param subject Request or job id. @param
- * text Sentence. @param now Present time. */
-void DecisionJournal::note(LogPart part, const std::string& subject, const std::string& text, Time now)
+/** Entry of a subject, made on first use. @return Null only if the journal is too small to keep the subject. */
+DecisionJournal::Subject* DecisionJournal::find(const std::string& subject)
 {
-    auto [it, added] = m_notes.try_emplace(subject);
-    if (added) {
+    if (m_subjects.try_emplace(subject).second) {
         m_order.push_back(subject);
         if (m_order.size() > journalSubjects) {
-            m_notes.erase(m_order.front());
+            m_subjects.erase(m_order.front());
             m_order.pop_front();
-            it = m_notes.find(subject);
         }
     }
-    if (it != m_notes.end() && it->second.size() < notesPerSubject)
-        it->second.push_back({ now, part, text });
+    const auto it = m_subjects.find(subject);
+    return it == m_subjects.end() ? nullptr : &it->second;
+}
+
+/**
+ * Writes a decision to the log and keeps it for explain.
+ * @param part Part.
+ * @param subject Request, job or task id.
+ * @param text Sentence.
+ * @param now Present time.
+ */
+void DecisionJournal::note(LogPart part, const std::string& subject, const std::string& text, Time now)
+{
+    if (Subject* entry = find(subject); entry && entry->notes.size() < notesPerSubject)
+        entry->notes.push_back({ now, part, text });
     logInfo(part, subject + " " + text);
 }
 
-/** All decisions about a subject. @param subject Request or job id. @return One line each, empty if none is known. */
+/**
+ * Makes explain of one subject show another one too, for instance a job's tasks.
+ * @param subject Request or job id.
+ * @param other Job, run or task id.
+ * @param now Present time.
+ */
+void DecisionJournal::relate(const std::string& subject, const std::string& other, Time now)
+{
+    Subject* entry = find(subject);
+    if (!entry || subject == other || entry->related.size() >= notesPerSubject
+        || std::find(entry->related.begin(), entry->related.end(), other) != entry->related.end())
+        return;
+    if (entry->notes.size() < notesPerSubject)
+        entry->notes.push_back({ now, LogPart::Main, "see " + other });
+    entry->related.push_back(other);
+}
+
+/** All decisions about a subject and its related ones. @param subject Request, job or task id. @return One line each,
+ * empty if none is known. */
 std::string DecisionJournal::explain(const std::string& subject) const
 {
-    const auto it = m_notes.find(subject);
-    if (it == m_notes.end())
-        return {};
     std::ostringstream out;
-    const Time first = it->second.front().at;
-    for (const Note& note : it->second)
-        out << '+' << toMs(note.at - first) << "ms " << logPrefix(note.part) << ' ' << note.text << '\n';
+    print(out, subject, std::nullopt, 0);
     return out.str();
 }
 
+void DecisionJournal::print(
+    std::ostream& out, const std::string& subject, std::optional<Time> first, std::uint32_t depth) const
+{
+    const auto it = m_subjects.find(subject);
+    if (it == m_subjects.end() || depth > maxDepth)
+        return;
+    if (!first && !it->second.notes.empty())
+        first = it->second.notes.front().at;
+    for (const Note& note : it->second.notes)
+        out << '+' << toMs(note.at - *first) << "ms " << subject << ' ' << logPrefix(note.part) << ' ' << note.text
+            << '\n';
+    for (const std::string& other : it->second.related)
+        print(out, other, first, depth + 1);
+}
+
 /** Calls the store. @param request Call. @param callback Called with the reply. @return Ticket of the call. */
 StoreTicket CoreContext::callStore(StoreRequest request, StoreCallback callback)
 {
--- a/src/core_context.h
+++ b/src/core_context.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <unordered_map>
 
@@ -38,6 +39,7 @@
 class DecisionJournal {
 public:
     void note(LogPart part, const std::string& subject, const std::string& text, Time now);
+    void relate(const std::string& subject, const std::string& other, Time now);
     std::string explain(const std::string& subject) const;
 
 private:
@@ -46,7 +48,14 @@
         LogPart part;
         std::string text;
     };
-    std::unordered_map<std::string, std::vector<Note>> m_notes;
+    struct Subject {
+        std::vector<Note> notes;
+        std::vector<std::string> related; ///< A request's job or run, a job's tasks.
+    };
+    Subject* find(const std::string& subject);
+    void print(std::ostream& out, const std::string& subject, std::optional<Time> first, std::uint32_t depth) const;
+
+    std::unordered_map<std::string, Subject> m_subjects;
     std::deque<std::string> m_order;
 };
 
--- a/src/job_service.cpp
+++ b/src/job_service.cpp
@@ -260,6 +260,7 @@
         m_context.refuse(submission.route, submission.id, result.error, result.reason);
         return;
     }
+    m_context.journal.relate(submission.id.value, submission.spec.id.value, now);
     shard.jobs[submission.spec.id] = std::move(job);
     m_context.journal.note(
         LogPart::Place, submission.spec.id.value, "is queued for request " + submission.id.value + ".", now);
--- a/src/job_tasks.cpp
+++ b/src/job_tasks.cpp
@@ -50,6 +50,7 @@
     task.start = start;
     task.changedAt = now;
     shard.active[start.task] = task;
+    m_context.journal.relate(start.job.value, start.task.value, now);
     m_context.journal.note(
         LogPart::Place, start.task.value, "goes to " + start.worker.value + ": " + start.reason + ".", now);
 }
--- a/src/prompt_service.cpp
+++ b/src/prompt_service.cpp
@@ -142,6 +142,7 @@
             return;
         // Targets see the key's hash as the id, so that a later owner learns from reports which keys still run.
         runId = RequestId("k-" + entry.keyName);
+        m_context.journal.relate(request.id.value, runId.value, now);
         const Shard& shard = m_shards[request.shard];
         if (shard.pool.targetOf(runId)) {
             m_context.refuse(
--- a/tests/test_scheduler_core.cpp
+++ b/tests/test_scheduler_core.cpp
@@ -163,3 +163,14 @@
     cell.settle();
     CHECK(cell.core.bundle()->version == BundleVersion(3));
 }
+
+// Guards against an explanation that ends at the request and hides what became of its job.
+TEST_CASE("explain of a request shows its job and the job's tasks")
+{
+    CoreFixture cell;
+    cell.settle();
+    const JobId job = cell.submitJob("j1", "report", 2);
+    const std::string text = cell.core.explain("j1");
+    CHECK(text.find(job.value + " place: is queued") != std::string::npos);
+    CHECK(text.find(makeTaskId(job, 1).value + " place: goes to w") != std::string::npos);
+}
