--- a/src/soak/load.cpp
+++ b/src/soak/load.cpp
@@ -59,12 +59,6 @@
         if (m_bundle == version)
             writeBundle(version, { "a", "b" }, false);
     });
-    if (!m_world.options().mutations.lowerBundle)
-        return;
-    m_world.timeline().after(std::chrono::seconds(6), [this, version] {
-        writeBundle(version - 1, { "a", "b" }, false);
-        m_bundle = version;
-    });
 }
 
 Process* Load::anyProcess()
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -9,6 +9,7 @@
 DEFINE_uint64(steps, 100000, "Steps of 10 ms soak time.");
 DEFINE_bool(whole_core, true, "Drive the whole core; otherwise ownership and membership alone.");
 DEFINE_bool(faults, true, "Inject faults.");
+DEFINE_string(break_mechanism, "", "Break one mechanism, to see that the run notices; 'list' names them.");
 DEFINE_uint64(trace_lines, 200, "Lines of trace that a failure prints.");
 
 int main(int argc, char** argv)
@@ -22,6 +23,11 @@
     options.wholeCore = FLAGS_whole_core;
     options.faults = FLAGS_faults;
     options.traceLines = FLAGS_trace_lines;
+    if (!FLAGS_break_mechanism.empty() && !sp::soak::breakMechanism(options, FLAGS_break_mechanism)) {
+        for (const std::string& name : sp::soak::mechanisms())
+            std::printf("%s\n", name.c_str());
+        return 2;
+    }
     const auto start = std::chrono::steady_clock::now();
     const sp::soak::SoakResult result = sp::soak::runSoak(options);
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - start;
--- a/src/soak/soak_type.h
+++ b/src/soak/soak_type.h
@@ -18,8 +18,8 @@
     bool refuseAfterStart = false; ///< Targets run a request and then refuse it as full.
     bool storeIgnoresCompares = false; ///< Transactions are written whatever their conditions.
     bool hideLeaving = false; ///< Scheduler cores are told nothing of leaving targets, but count as told.
-    bool lowerBundle = false; ///< An operator's write takes the bundle head back to an older version.
-    bool dropDrain = false; ///< A process that shuts down ends without awaiting its calls.
+    bool forgetBundle = false; ///< A scheduler's announced version is now and then an older one.
+    bool dropDrain = false; ///< A process that is asked to shut down ends without awaiting its calls.
 };
 
 /** What a run does. */
@@ -43,6 +43,8 @@
     std::vector<std::string> figures; ///< Counts and measured times, one a line.
 };
 
+bool breakMechanism(SoakOptions& options, const std::string& name);
+std::vector<std::string> mechanisms();
 SoakResult runSoak(const SoakOptions& options);
 
 } // namespace sp::soak
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -166,6 +166,11 @@
 {
     m_time.trace("drain " + process.host.value);
     process.isDraining = true;
+    if (m_options.mutations.dropDrain) {
+        m_checks.drained(process.host.value, process.calls.size());
+        crash(process);
+        return;
+    }
     deliver(process, DrainRequested {});
 }
 
@@ -264,6 +269,8 @@
     const Incarnation incarnation = process.incarnation;
     const ReplyRoute back { "peer:" + self.value };
     if (auto* heartbeat = std::get_if<SendHeartbeat>(&action)) {
+        if (m_options.mutations.forgetBundle && heartbeat->heartbeat.bundle.value > 1 && m_time.chance(0.01))
+            --heartbeat->heartbeat.bundle.value;
         m_checks.bundleAnnounced(self.value + "/" + std::to_string(incarnation.value), heartbeat->heartbeat.bundle);
         sendToPeer(process, heartbeat->to, [=, message = heartbeat->heartbeat](Time) {
             return Event(PeerHeartbeat { self, incarnation, message });
