--- /dev/null
+++ b/tests/test_soak.cpp
@@ -0,0 +1,68 @@
+#include "doctest_main.h"
+
+#include "soak/soak_type.h"
+
+using namespace sp::soak;
+
+namespace {
+
+SoakResult run(std::uint64_t seed, std::uint64_t steps, bool wholeCore, const char* broken = nullptr)
+{
+    SoakOptions options;
+    options.seed = seed;
+    options.steps = steps;
+    options.wholeCore = wholeCore;
+    if (broken)
+        REQUIRE(breakMechanism(options, broken));
+    return runSoak(options);
+}
+
+/** A broken mechanism must be noticed through the invariant that it guards. */
+void checkNoticed(const char* broken, std::uint64_t seed, std::uint64_t steps, const char* invariant)
+{
+    const SoakResult result = run(seed, steps, true, broken);
+    CAPTURE(broken);
+    CHECK_MESSAGE(result.failure.starts_with(invariant), result.failure);
+}
+
+} // namespace
+
+// Guards against two firm owners of a shard under combined faults, and against a shard without an owner afterwards.
+TEST_CASE("ownership and membership hold their invariants")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const SoakResult result = run(seed, 50000, false);
+        CHECK_MESSAGE(!result.failed, result.failure);
+    }
+}
+
+// Guards against a violation of I1 to I8 by the whole core under combined faults.
+TEST_CASE("the whole core holds its invariants")
+{
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+        const SoakResult result = run(seed, 4000, true);
+        CHECK_MESSAGE(!result.failed, result.failure);
+    }
+}
+
+// Guards against a failure that can't be reproduced from its seed.
+TEST_CASE("the same seed gives the same trace")
+{
+    const SoakResult first = run(7, 2000, true);
+    const SoakResult second = run(7, 2000, true);
+    CHECK(first.traceHash == second.traceHash);
+    CHECK(first.figures == second.figures);
+    CHECK(run(8, 2000, true).traceHash != first.traceHash);
+}
+
+// Guards against checks that can't fail.
+TEST_CASE("each broken mechanism is noticed")
+{
+    checkNoticed("hide_running_work", 3, 2000, "I1");
+    checkNoticed("ignore_lease_deadline", 3, 3000, "I2");
+    checkNoticed("targets_accept_old_terms", 3, 4000, "I2");
+    checkNoticed("store_ignores_compares", 1, 1000, "I2");
+    checkNoticed("swap_answers", 1, 1000, "I3");
+    checkNoticed("hide_leaving", 2, 2000, "I6");
+    checkNoticed("forget_bundle", 2, 4000, "I8");
+}
