--- a/src/soak/fake_target.cpp
+++ b/src/soak/fake_target.cpp
@@ -52,8 +52,10 @@
             work.leaseUntil = now + work.lease.time_since_epoch();
         report.runningTasks.push_back({ TaskId(workId), work.size, work.size });
     }
-    for (const auto& [task, end] : finished)
-        report.finishedTasks.push_back(end);
+    for (const auto& [task, end] : finished) {
+        if (!mutations.hideFinishedWork)
+            report.finishedTasks.push_back(end);
+    }
     return report;
 }
 
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -10,6 +10,7 @@
 DEFINE_bool(whole_core, true, "Drive the whole core; otherwise ownership and membership alone.");
 DEFINE_bool(faults, true, "Inject faults.");
 DEFINE_string(break_mechanism, "", "Break one mechanism, to see that the run notices; 'list' names them.");
+DEFINE_bool(print_trace, false, "Print the trace of a run without failure too.");
 DEFINE_uint64(trace_lines, 200, "Lines of trace that a failure prints.");
 
 int main(int argc, char** argv)
@@ -33,12 +34,13 @@
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - start;
     for (const std::string& figure : result.figures)
         std::printf("%s\n", figure.c_str());
-    if (result.failed || options.traceLines > 1000) {
+    if (result.failed || FLAGS_print_trace) {
         for (const std::string& line : result.trace)
             std::printf("%s\n", line.c_str());
+    }
+    if (result.failed)
         std::printf("FAILED seed %llu step %llu: %s\n", static_cast<unsigned long long>(options.seed),
             static_cast<unsigned long long>(result.step), result.failure.c_str());
-    }
     std::printf("seed %llu, %llu steps in %.1f s, trace %016llx: %s\n", static_cast<unsigned long long>(options.seed),
         static_cast<unsigned long long>(result.step), took.count(), static_cast<unsigned long long>(result.traceHash),
         result.failed ? "failed" : "all invariants held");
--- a/src/soak/mutation.cpp
+++ b/src/soak/mutation.cpp
@@ -25,6 +25,7 @@
         static const std::map<std::string, bool SoakMutations::*> all {
             { "targets_accept_old_terms", &SoakMutations::targetsAcceptOldTerms },
             { "hide_running_work", &SoakMutations::hideRunningWork },
+            { "hide_finished_work", &SoakMutations::hideFinishedWork },
             { "swap_answers", &SoakMutations::swapAnswers },
             { "refuse_after_start", &SoakMutations::refuseAfterStart },
             { "store_ignores_compares", &SoakMutations::storeIgnoresCompares },
--- a/src/soak/soak_type.h
+++ b/src/soak/soak_type.h
@@ -15,7 +15,8 @@
     bool targetsAcceptOldTerms = false; ///< Targets run starts of a lower term.
     bool hideRunningWork = false; ///< Reports of targets leave out the running work.
     bool swapAnswers = false; ///< A target's answer carries the body of another request.
-    bool refuseAfterStart = false; ///< Targets run a request and then refuse it as full.
+    bool hideFinishedWork = false; ///< Reports of workers leave out the finished tasks.
+    bool refuseAfterStart = false; ///< Targets run a request and then refuse it for its term.
     bool storeIgnoresCompares = false; ///< Transactions are written whatever their conditions.
     bool hideLeaving = false; ///< Scheduler cores are told nothing of leaving targets, but count as told.
     bool forgetBundle = false; ///< A scheduler's announced version is now and then an older one.
--- a/src/soak/world_targets.cpp
+++ b/src/soak/world_targets.cpp
@@ -91,7 +91,7 @@
     target->running[run.request.value]
         = { *run.payload, {}, m_time.now() + runTimeOf(*run.payload), {}, {}, run.call, process.host, generation };
     if (m_options.mutations.refuseAfterStart)
-        endCall(process, generation, run.call, CallEnd::RefusedFull, "", back);
+        endCall(process, generation, run.call, CallEnd::RefusedTerm, "", back);
     const std::string body = m_options.mutations.swapAnswers ? "done:other" : "done:" + *run.payload;
     m_time.after(runTimeOf(*run.payload), [=, this, host = process.host, id = target->id] {
         FakeTarget* ended = find(id);
