--- a/src/soak/fake_store.cpp
+++ b/src/soak/fake_store.cpp
@@ -95,6 +95,8 @@
 /** Writes a key at the present revision. */
 void FakeStore::write(const std::string& key, std::optional<std::string> value, StoreLeaseId lease)
 {
+    if (m_dropsRunRecords && key.starts_with("/sp/runs/"))
+        return;
     if (value)
         m_entries[key] = { *value, m_revision, lease };
     else if (m_entries.erase(key) == 0)
--- a/src/soak/fake_store.h
+++ b/src/soak/fake_store.h
@@ -22,8 +22,9 @@
         std::optional<std::string> value; ///< Absent if deleted.
     };
 
-    explicit FakeStore(bool ignoreCompares)
+    explicit FakeStore(bool ignoreCompares, bool dropsRunRecords = false)
         : m_ignoreCompares(ignoreCompares)
+        , m_dropsRunRecords(dropsRunRecords)
     {
     }
     StoreReply apply(const StoreRequest& request, Time now);
@@ -52,6 +53,7 @@
     void endLease(StoreLeaseId lease);
 
     bool m_ignoreCompares;
+    bool m_dropsRunRecords;
     std::map<std::string, Entry> m_entries;
     std::map<StoreLeaseId, Lease> m_leases;
     std::vector<Change> m_history;
--- a/src/soak/mutation.cpp
+++ b/src/soak/mutation.cpp
@@ -29,6 +29,7 @@
             { "swap_answers", &SoakMutations::swapAnswers },
             { "refuse_after_start", &SoakMutations::refuseAfterStart },
             { "store_ignores_compares", &SoakMutations::storeIgnoresCompares },
+            { "drop_run_records", &SoakMutations::dropRunRecords },
             { "hide_leaving", &SoakMutations::hideLeaving },
             { "forget_bundle", &SoakMutations::forgetBundle },
             { "drop_drain", &SoakMutations::dropDrain },
--- a/src/soak/soak_type.h
+++ b/src/soak/soak_type.h
@@ -18,6 +18,7 @@
     bool hideFinishedWork = false; ///< Reports of workers leave out the finished tasks.
     bool refuseAfterStart = false; ///< Targets run a request and then refuse it for its term.
     bool storeIgnoresCompares = false; ///< Transactions are written whatever their conditions.
+    bool dropRunRecords = false; ///< The store answers writes of run records and doesn't keep them.
     bool hideLeaving = false; ///< Scheduler cores are told nothing of leaving targets, but count as told.
     bool forgetBundle = false; ///< A scheduler's announced version is now and then an older one.
     bool dropDrain = false; ///< A process that is asked to shut down ends without awaiting its calls.
--- a/src/soak/world.cpp
+++ b/src/soak/world.cpp
@@ -42,7 +42,7 @@
 World::World(const SoakOptions& options)
     : m_options(options)
     , m_time(options.seed, options.traceLines)
-    , m_store(options.mutations.storeIgnoresCompares)
+    , m_store(options.mutations.storeIgnoresCompares, options.mutations.dropRunRecords)
 {
     m_time.runUntil(Time(std::chrono::seconds(1)));
     for (const char* name : { "a", "b" }) {
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -65,6 +65,7 @@
     checkNoticed("swap_answers", 1, 1000, "I3");
     checkNoticed("refuse_after_start", 1, 1000, "I4");
     checkNoticed("hide_finished_work", 1, 4000, "liveness");
+    checkNoticed("drop_run_records", 3, 2000, "I5");
     checkNoticed("drop_drain", 4, 10500, "I7");
     checkNoticed("hide_leaving", 2, 2000, "I6");
     checkNoticed("forget_bundle", 2, 4000, "I8");
