--- a/src/soak/soak_type.h
+++ b/src/soak/soak_type.h
@@ -15,11 +15,13 @@
     bool targetsAcceptOldTerms = false; ///< Targets run starts of a lower term.
     bool hideRunningWork = false; ///< Reports of targets leave out the running work.
     bool swapAnswers = false; ///< A target's answer carries the body of another request.
-    bool refuseAfterStart = false; ///< Targets run a request and then refuse it as full.
+    bool hideFinishedWork = false; ///< Reports of workers leave out the finished tasks.
+    bool refuseAfterStart = false; ///< Targets run a request and then refuse it for its term.
     bool storeIgnoresCompares = false; ///< Transactions are written whatever their conditions.
+    bool dropRunRecords = false; ///< The store answers writes of run records and doesn't keep them.
     bool hideLeaving = false; ///< Scheduler cores are told nothing of leaving targets, but count as told.
-    bool lowerBundle = false; ///< An operator's write takes the bundle head back to an older version.
-    bool dropDrain = false; ///< A process that shuts down ends without awaiting its calls.
+    bool forgetBundle = false; ///< A scheduler's announced version is now and then an older one.
+    bool dropDrain = false; ///< A process that is asked to shut down ends without awaiting its calls.
 };
 
 /** What a run does. */
@@ -43,6 +45,8 @@
     std::vector<std::string> figures; ///< Counts and measured times, one a line.
 };
 
+bool breakMechanism(SoakOptions& options, const std::string& name);
+std::vector<std::string> mechanisms();
 SoakResult runSoak(const SoakOptions& options);
 
 } // namespace sp::soak
