Add: ageing benchmark that reaches max_wait

Cause: with the default queue limit, heavy work at 80% of the slots was refused before it could wait for max_wait, so the bound was not reached. Change: a third run with queue_limit 100,000.

--- a/src/bench/slot_bench.cpp
+++ b/src/bench/slot_bench.cpp
@@ -247,7 +247,8 @@
     // ---- Ageing ----
 
     /** Longest wait of heavy work while short work alone asks for 120% of the slots. */
-    void heavyUnderLoad(const std::string& name, double heavyLoad, const BenchOptions& options, const Report& report)
+    void heavyUnderLoad(const std::string& name, double heavyLoad, std::uint32_t queueLimit,
+        const BenchOptions& options, const Report& report)
     {
         constexpr std::chrono::milliseconds maxWait = 10s;
         const std::uint32_t slots = 200;
@@ -255,6 +256,7 @@
         pool.applyPolicy(simBundle([&](WorkloadPolicy& policy) {
             policy.longThreshold = 200ms;
             policy.maxWait = maxWait;
+            policy.queueLimit = queueLimit;
         }));
         fillPool(pool, slots / 8, 8);
         double longest = 0;
@@ -290,8 +292,9 @@
 
     void benchHeavy(const BenchOptions& options, const Report& report)
     {
-        heavyUnderLoad("ageing, heavy 10% of the slots", 0.1, options, report);
-        heavyUnderLoad("ageing, heavy 80% of the slots", 0.8, options, report);
+        heavyUnderLoad("ageing, heavy 10% of the slots", 0.1, 1000, options, report);
+        heavyUnderLoad("ageing, heavy 80% of the slots", 0.8, 1000, options, report);
+        heavyUnderLoad("ageing, heavy 80%, queue_limit 100,000", 0.8, 100000, options, report);
     }
 
     // ---- Cost ----
