Change: run times predicted from the declaration or the mean, whichever errs less; held workers are kept

Cause: the mean of long and short runs misled the reservation, and each new plan chose other workers, so that room already collected was given up. Change: the predictor with the smaller error, plus twice its error; a reservation keeps its workers while they serve.

--- a/src/gang_planner.cpp
+++ b/src/gang_planner.cpp
@@ -180,6 +180,13 @@
     m_plannedAt = now;
     ++m_stats.plans;
     const bool wasHolding = isHolding();
+    if (wasHolding) {
+        // Held workers are kept while they can serve: choosing again would give up the room they have collected.
+        if (const Time start = heldStart(pool, now); start != timeUnknown) {
+            m_expectedStart = start;
+            return false;
+        }
+    }
     const Plan next = plan(pool, now);
     m_expectedStart = next.start;
     if (next.start == timeUnknown) {
@@ -193,6 +200,26 @@
     return true;
 }
 
+/** When all held workers are expected to have their room. @return Time, unknown if one of them can't serve any more. */
+Time GangPlanner::heldStart(const WorkerPool& pool, Time now) const
+{
+    Time start = now;
+    for (const GangShare& share : m_shares) {
+        std::vector<RoomEvent> events;
+        addRoomEvents(events, *m_need, pool.workers()[share.worker], share.worker, now);
+        std::uint32_t tasks = 0;
+        for (const RoomEvent& event : events) {
+            if (tasks >= share.tasks)
+                break;
+            tasks += event.tasks;
+            start = std::max(start, event.at);
+        }
+        if (tasks < share.tasks)
+            return timeUnknown;
+    }
+    return start;
+}
+
 GangPlanner::Plan GangPlanner::plan(const WorkerPool& pool, Time now) const
 {
     std::vector<RoomEvent> events;
@@ -277,10 +304,12 @@
     for (const WorkerIndex worker : m_held)
         pool.setHeld(worker, {});
     m_held.clear();
+    m_shares.clear();
 }
 
 void GangPlanner::hold(WorkerPool& pool, const Plan& plan)
 {
+    m_shares = plan.shares;
     for (const GangShare& share : plan.shares) {
         m_held.push_back(share.worker);
         pool.setHeld(share.worker, times(m_need->size, share.tasks));
--- a/src/gang_planner.h
+++ b/src/gang_planner.h
@@ -59,6 +59,7 @@
         std::vector<GangShare> shares;
     };
     Plan plan(const WorkerPool& pool, Time now) const;
+    Time heldStart(const WorkerPool& pool, Time now) const;
     double planLoss(const WorkerPool& pool, const Plan& plan, Time now) const;
     void charge(const WorkerPool& pool, bool othersWait, Time now);
     void release(WorkerPool& pool);
@@ -71,6 +72,7 @@
     Time m_expectedStart = timeUnknown;
     double m_lost = 0; ///< Share-seconds charged to the present reservation.
     std::vector<WorkerIndex> m_held;
+    std::vector<GangShare> m_shares; ///< What is held on each of them.
     ReservationStats m_stats;
 };
 
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -239,7 +239,7 @@
     Task& state = job->tasks[index];
     const WorkerIndex ranOn = state.worker;
     if (end == TaskEnd::Succeeded)
-        UsageModel::finished(*job->usage, now - state.startedAt);
+        UsageModel::finished(*job->usage, job->spec.runTime, now - state.startedAt);
     if (end == TaskEnd::Succeeded || end == TaskEnd::Failed)
         applyHealth(m_health.ended(ranOn, job->spec.workload, end == TaskEnd::Succeeded, now));
     else
--- a/src/usage_model.cpp
+++ b/src/usage_model.cpp
@@ -1,6 +1,7 @@
 #include "usage_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sp {
 
@@ -14,6 +15,8 @@
     /** Runs needed before the learned run time replaces the declared one. */
     constexpr std::uint32_t runsToTrust = 3;
 
+    constexpr double runWeight = 0.05; ///< Weight of one run in the moving averages.
+
     /** A step of at least 1 unit: without it the size would stand still as soon as a tenth of the gap is less than 1.
      */
     std::int64_t follow(std::int64_t size, std::int64_t usage, std::int64_t peak)
@@ -88,18 +91,36 @@
     return made;
 }
 
-/** Learns a successful run. @param entry Entry. @param run Run time. */
-void UsageModel::finished(UsageEntry& entry, Duration run)
+/** Learns a successful run. @param entry Entry. @param declared Declared run time, 0 if none. @param run Run time. */
+void UsageModel::finished(UsageEntry& entry, std::chrono::milliseconds declared, Duration run)
 {
-    entry.meanRun = entry.runs == 0 ? run : entry.meanRun + (run - entry.meanRun) / 8;
+    const double actual = std::chrono::duration<double>(run).count();
+    const double stated = std::chrono::duration<double>(declared).count();
+    const double ratio = stated > 0 ? actual / stated : 0;
+    const double weight = entry.runs == 0 ? 1 : runWeight;
+    const auto follow = [&](double& mean, double value) { mean += (value - mean) * weight; };
+    if (entry.runs > 0) {
+        follow(entry.runError, std::abs(actual - entry.meanRun));
+        follow(entry.ratioError, std::abs(actual - entry.meanRatio * stated));
+        follow(entry.ratioSpread, std::abs(ratio - entry.meanRatio));
+    }
+    follow(entry.meanRun, actual);
+    follow(entry.meanRatio, ratio);
     ++entry.runs;
 }
 
-/** Run time to plan with; a quarter is added since half of all runs are longer than the mean. @param entry Entry.
- * @param declared Declared run time, 0 if none. @return Run time, 0 if nothing is known. */
+/** Run time to plan with: from the declaration or without it, whichever has predicted better, and twice its error on
+ * top, since room that is planned for must be free in time. @param entry Entry. @param declared Declared run time, 0 if
+ * none. @return Run time, 0 if nothing is known. */
 Duration UsageModel::expectedRun(const UsageEntry& entry, std::chrono::milliseconds declared)
 {
-    return entry.runs >= runsToTrust ? entry.meanRun + entry.meanRun / 4 : Duration(declared);
+    if (entry.runs < runsToTrust)
+        return declared;
+    const double stated = std::chrono::duration<double>(declared).count();
+    const double expected = stated > 0 && entry.ratioError < entry.runError
+        ? stated * (entry.meanRatio + 2 * entry.ratioSpread)
+        : entry.meanRun + 2 * entry.runError;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(expected));
 }
 
 /** Drops the older half, so that the cost per new entry stays constant. */
--- a/src/usage_model.h
+++ b/src/usage_model.h
@@ -44,7 +44,11 @@
     {
     }
     SizeTracker tracker; ///< Size for later starts.
-    Duration meanRun {}; ///< Moving average of successful runs.
+    double meanRun = 0; ///< Moving average of successful runs, in seconds.
+    double meanRatio = 0; ///< Moving average of run time to declared run time.
+    double runError = 0; ///< Mean absolute error of meanRun as a prediction, in seconds.
+    double ratioError = 0; ///< The same of meanRatio times the declared run time.
+    double ratioSpread = 0; ///< Mean absolute deviation from meanRatio.
     std::uint32_t runs = 0;
     Time lastUsed {};
 };
@@ -59,7 +63,7 @@
     {
     }
     UsageEntryPtr entry(const JobSpec& spec, Time now);
-    static void finished(UsageEntry& entry, Duration run);
+    static void finished(UsageEntry& entry, std::chrono::milliseconds declared, Duration run);
     static Duration expectedRun(const UsageEntry& entry, std::chrono::milliseconds declared);
     std::size_t entries() const { return m_entries.size(); }
 
