Fix: random test of the target client takes an unmade connection for what it is

Cause: with 18 calls at once the fake server's backlog of 16 overflowed, so that a call ended as not_connected, which was true, while the test expected the server's answer. Change: larger backlog; not_connected is accepted only if the server saw nothing.

--- a/tests/fake_server.h
+++ b/tests/fake_server.h
@@ -30,7 +30,7 @@
         socklen_t size = sizeof address;
         getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
         m_port = ntohs(address.sin_port);
-        listen(m_listener, 16);
+        listen(m_listener, 1024);
         m_acceptor = std::thread([this] { accept(); });
     }
     FakeServer(const FakeServer&) = delete;
--- a/tests/test_target_client.cpp
+++ b/tests/test_target_client.cpp
@@ -238,8 +238,11 @@
             std::lock_guard lock(mutex);
             const int times = seen["r" + std::to_string(ended.call.value)];
             RC_ASSERT(times <= 1); // Never sent twice.
-            // A connection that breaks under the call may keep the request from being read: that is Lost, too.
-            RC_ASSERT(ended.end == expected[fault] || (times == 0 && ended.end == CallEnd::Lost));
+            RC_LOG() << "call " << ended.call << ", fault " << fault << ", " << callEndName(ended.end) << ", seen "
+                     << times << ", " << ended.detail << '\n';
+            // Without a connection, or with one that breaks before the server reads, the server has seen nothing.
+            const bool unseen = times == 0 && (ended.end == CallEnd::Lost || ended.end == CallEnd::NotConnected);
+            RC_ASSERT(unseen || ended.end == expected[fault]);
         }
     }));
 }
