--- a/src/bundle.cpp
+++ b/src/bundle.cpp
@@ -140,8 +140,12 @@
 {
     Ini ini = Ini::parse(text, bundleKeys);
     checkWhole(ini);
-    if (!ini.problems().empty())
-        return { std::nullopt, ini.problems() };
+    if (!ini.problems().empty()) {
+        std::vector<TextProblem> problems = ini.problems();
+        std::stable_sort(problems.begin(), problems.end(),
+            [](const TextProblem& left, const TextProblem& right) { return left.line < right.line; });
+        return { std::nullopt, std::move(problems) };
+    }
     Bundle bundle;
     bundle.version = BundleVersion(static_cast<std::uint64_t>(ini.integer("bundle", "", "version")));
     bundle.author = ini.text("bundle", "", "author");
@@ -182,4 +186,16 @@
     return problems;
 }
 
+/** Fills in the lines of problems that concern one key of a section without a name. @param text Text. @param problems
+ * Problems. */
+void locateProblems(const std::string& text, std::vector<TextProblem>& problems)
+{
+    const Ini ini = Ini::parse(text, bundleKeys);
+    for (TextProblem& problem : problems) {
+        const auto dot = problem.key.find('.');
+        if (problem.line == 0 && dot != std::string::npos)
+            problem.line = ini.lineOf(problem.key.substr(0, dot), problem.key.substr(dot + 1));
+    }
+}
+
 } // namespace sp
