--- a/src/ini_text.cpp
+++ b/src/ini_text.cpp
@@ -38,7 +38,7 @@
         ++lines.line;
         if (isTooLong(line, static_cast<std::size_t>(size) - 2))
             lines.longLines.push_back(lines.line);
-        if (const auto end = line.find(']'); !line.empty() && line.front() == '[' && end != std::string::npos)
+        if (const auto end = line.find(']'); !line.empty() && line.front() == '[' && end <= maxTitle + 1)
             lines.titles.emplace_back(line.substr(1, end - 1), lines.line);
         line.resize(std::min<std::size_t>(line.size(), static_cast<std::size_t>(size) - 2));
         line += '\n';
@@ -160,7 +160,7 @@
 {
     Ini ini;
     ini.m_table = table;
-    LineSource source { std::istringstream(text), 0, {} };
+    LineSource source { std::istringstream(text), 0, {}, {} };
     struct Context {
         Ini* ini;
         LineSource* source;
