Fix: link test gives its two gateways different incarnations

Cause: with one identity the later connection took over the earlier one's, so that the answer went to the other node and the test hung (seen once, by chance of order). Change: the second gateway has an incarnation of its own.

--- a/tests/test_peer_link.cpp
+++ b/tests/test_peer_link.cpp
@@ -97,7 +97,9 @@
 {
     Node owner(scheduler("h1"));
     Node gateway(gatewayTo(owner.link.boundAddress()));
-    Node other(gatewayTo(owner.link.boundAddress()));
+    PeerLinkConfig second = gatewayTo(owner.link.boundAddress());
+    second.incarnation = Incarnation(8); // Two processes never share host and incarnation.
+    Node other(second);
     gateway.sendUntilTaken(HostId("h1"), prompt(), owner);
     const auto [route, frame] = owner.takeFrame();
     CHECK(std::holds_alternative<PromptSubmitted>(frame.message));
