--- a/src/bundle_diff.cpp
+++ b/src/bundle_diff.cpp
@@ -120,14 +120,16 @@
         for (const std::string& name : names) {
             const bool was = before.hasSection(kind, name);
             const bool is = after.hasSection(kind, name);
+            std::string title = kind;
+            title.append(" ").append(name);
             if (was && is)
                 diffSection(before, after, kind, name, changes);
             else if (is)
-                changes.push_back({ BundleChange::Kind::SectionAdded, kind + " " + name, {}, {},
-                    sectionText(after, kind, name), {} });
+                changes.push_back(
+                    { BundleChange::Kind::SectionAdded, title, {}, {}, sectionText(after, kind, name), {} });
             else
-                changes.push_back({ BundleChange::Kind::SectionRemoved, kind + " " + name, {},
-                    sectionText(before, kind, name), {}, {} });
+                changes.push_back(
+                    { BundleChange::Kind::SectionRemoved, title, {}, sectionText(before, kind, name), {}, {} });
         }
     }
 
--- a/tests/test_bundle.cpp
+++ b/tests/test_bundle.cpp
@@ -97,12 +97,12 @@
               { "cell.short_reserve_min", 8 }, { "cell.reclaim_after", 9 }, { "cell.colour", 10 },
               { "weights.wait", 12 }, { "workload search.idempotent", 16 }, { "workload search.service", 14 },
               { "workload reports.class", 18 }, { "workload index.service", 21 }, { "shape.size", 23 } };
-    for (const auto& [key, line] : expected) {
-        CAPTURE(key);
+    for (const auto& place : expected) {
+        CAPTURE(place.first);
         CAPTURE(problemLines(parse));
-        const TextProblem* problem = findProblem(parse, key);
+        const TextProblem* problem = findProblem(parse, place.first);
         REQUIRE(problem);
-        CHECK(problem->line == line);
+        CHECK(problem->line == place.second);
     }
     CHECK(parse.problems.size() == std::size(expected) + 1); // weights.wait is malformed and given twice
     for (const TextProblem& problem : parse.problems) {
