--- a/src/ini_text.cpp
+++ b/src/ini_text.cpp
@@ -160,7 +160,7 @@
 {
     Ini ini;
     ini.m_table = table;
-    LineSource source { std::istringstream(text), 0, {} };
+    LineSource source { std::istringstream(text), 0, {}, {} };
     struct Context {
         Ini* ini;
         LineSource* source;
