--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -32,7 +32,7 @@
 }
 
 /** @param self Own host. @param dataCentre Own data centre. @param peers All other schedulers of the cell. */
-Membership::Membership(HostId self, DataCentreId dataCentre, std::vector<PeerConfig> peers)
+Membership::Membership(HostId self, DataCentreId dataCentre, const std::vector<PeerConfig>& peers)
     : m_self(std::move(self))
     , m_dataCentre(std::move(dataCentre))
 {
--- a/src/membership.h
+++ b/src/membership.h
@@ -44,7 +44,7 @@
 /** Heartbeats, suspicion and announcements of the peers. Has no effect on ownership, which rests on leases. */
 class Membership {
 public:
-    Membership(HostId self, DataCentreId dataCentre, std::vector<PeerConfig> peers);
+    Membership(HostId self, DataCentreId dataCentre, const std::vector<PeerConfig>& peers);
     void addPeer(const PeerConfig& peer);
     std::vector<HostId> heartbeatsDue(Time now);
     void heartbeatReceived(const HostId& peer, Incarnation incarnation, const HeartbeatMessage& heartbeat, Time now);
--- a/src/soak/world.h
+++ b/src/soak/world.h
@@ -112,7 +112,7 @@
         Process& process, std::uint64_t generation, CallId call, CallEnd end, const std::string& body, Duration delay);
     bool isCut(const Process& process, const FakeTarget& target) const;
     void follow(Process& process, const FollowTarget& follow);
-    void pollTarget(HostId host, std::uint64_t generation, TargetId target, std::uint64_t epoch);
+    void pollTarget(const HostId& host, std::uint64_t generation, const TargetId& target, std::uint64_t epoch);
     void tickTargets();
     void endTask(FakeTarget& target, const TaskId& task, TaskEnd end);
 
--- a/src/soak/world_targets.cpp
+++ b/src/soak/world_targets.cpp
@@ -222,7 +222,7 @@
 }
 
 /** Asks a target for one report and schedules the next question. */
-void World::pollTarget(HostId host, std::uint64_t generation, TargetId target, std::uint64_t epoch)
+void World::pollTarget(const HostId& host, std::uint64_t generation, const TargetId& target, std::uint64_t epoch)
 {
     Process& process = *find(host);
     const auto it = process.follows.find(target);
--- a/src/state_chart.cpp
+++ b/src/state_chart.cpp
@@ -7,20 +7,20 @@
 
 namespace {
 
-    std::optional<std::uint16_t> indexOf(const std::vector<std::string>& names, std::string_view name)
+    std::optional<std::uint32_t> indexOf(const std::vector<std::string>& names, std::string_view name)
     {
         const auto it = std::find(names.begin(), names.end(), name);
         if (it == names.end())
             return std::nullopt;
-        return static_cast<std::uint16_t>(it - names.begin());
+        return static_cast<std::uint32_t>(it - names.begin());
     }
 
-    std::uint16_t indexOrAdd(std::vector<std::string>& names, const std::string& name)
+    std::uint32_t indexOrAdd(std::vector<std::string>& names, const std::string& name)
     {
         if (const auto index = indexOf(names, name))
             return *index;
         names.push_back(name);
-        return static_cast<std::uint16_t>(names.size() - 1);
+        return static_cast<std::uint32_t>(names.size() - 1);
     }
 
     leaf::error_id failAt(std::string_view file, int line, const std::string& text)
@@ -54,17 +54,21 @@
         for (std::string word; words >> word;)
             line.words.push_back(word);
         if (!line.words.empty())
-            BOOST_LEAF_CHECK(chart.addLine(line, names));
+            if (auto checked = chart.addLine(line, names); !checked)
+                return checked.error();
     }
     if (chart.m_name.empty())
         return failIn(file, "no line 'chart NAME'");
-    BOOST_LEAF_CHECK(chart.resolve(names));
+    if (auto checked = chart.resolve(names); !checked)
+        return checked.error();
     if (names.initial.size() != 1)
         return failIn(file, "exactly one line 'initial STATE' is expected");
     if (chart.m_final.empty())
         return failIn(file, "no line 'final STATE...'");
-    BOOST_LEAF_CHECK(chart.checkComplete(file));
-    BOOST_LEAF_CHECK(chart.checkPaths(file));
+    if (auto checked = chart.checkComplete(file); !checked)
+        return checked.error();
+    if (auto checked = chart.checkPaths(file); !checked)
+        return checked.error();
     return chart;
 }
 
--- a/src/state_chart.h
+++ b/src/state_chart.h
@@ -13,8 +13,8 @@
 
 namespace sp {
 
-using ChartState = std::uint16_t; ///< Index of a state within its chart.
-using ChartEvent = std::uint16_t; ///< Index of an event within its chart.
+using ChartState = std::uint32_t; ///< Index of a state within its chart.
+using ChartEvent = std::uint32_t; ///< Index of an event within its chart.
 
 /**
  * A state chart read from text, one statement a line:
--- a/tests/test_state_chart.cpp
+++ b/tests/test_state_chart.cpp
@@ -11,7 +11,8 @@
 {
     return leaf::try_handle_all(
         [&]() -> leaf::result<std::string> {
-            BOOST_LEAF_CHECK(StateChart::parse(text, "test.chart"));
+            if (auto chart = StateChart::parse(text, "test.chart"); !chart)
+                return chart.error();
             return std::string();
         },
         [](const ErrorDetail& detail) { return detail.text; }, [] { return std::string("no detail"); });
