--- a/src/core_context.cpp
+++ b/src/core_context.cpp
@@ -119,6 +119,10 @@
  */
 std::optional<HostId> CoreContext::ownerOf(const ShardId& shard, Time now) const
 {
+    // While the store is away the owner key lapses with the session, but the hold goes on by promise.
+    const HoldLevel level = ownership->level(shard, now);
+    if (level != HoldLevel::None && level != HoldLevel::Claiming && level != HoldLevel::Lost)
+        return config.self;
     if (const auto it = owners.find(shard); it != owners.end())
         return it->second;
     return membership->announcedOwner(shard, now);
--- a/src/job_service.cpp
+++ b/src/job_service.cpp
@@ -209,6 +209,13 @@
             submission.route, submission.id, ErrorKind::KeyConflict, "the idempotency key was used with other content");
         return;
     }
+    const auto known = m_shards.find(shardId);
+    if (found && known != m_shards.end() && !known->second.jobs.contains(submission.spec.id)
+        && found->phase == JobPhase::Queued) {
+        // Only this owner creates records under its term, so this is an earlier submission whose answer was lost.
+        enqueue(shardId, submission, true, found->token, now);
+        return;
+    }
     if (found) {
         answerStatus(submission.route, submission.id, shardId, submission.spec.id, ErrorKind::Ok);
         return;
@@ -218,13 +225,17 @@
             "the term of shard " + shardId.value + " has been superseded");
         return;
     }
-    // The write may still take effect after a lost read back. An idempotent job goes on in memory under the same id, so
-    // that a record that appears later names the same job.
-    if (policy && policy->idempotent && m_context.holdsFirmly(shardId, now))
+    if (policy && policy->idempotent && m_context.holdsFirmly(shardId, now)) {
+        // A record that takes effect later names the same job.
         enqueue(shardId, submission, false, token, now);
-    else
+    } else if (readBack) {
+        // The write may still take effect, and a later owner would then run the job.
+        m_context.refuse(
+            submission.route, submission.id, ErrorKind::AnswerLost, "the job record may have been written");
+    } else {
         m_context.refuse(
             submission.route, submission.id, ErrorKind::StoreUnavailable, "the job record could not be written");
+    }
 }
 
 /** Queues a job at its owner and answers the caller. */
--- a/src/message_codec.cpp
+++ b/src/message_codec.cpp
@@ -58,7 +58,9 @@
                 out.set_slots_free(load.slots.slotsFree);
                 out.set_slots_total(load.slots.slotsTotal);
                 out.set_queued(load.slots.queued);
-                out.set_wait_ms(clampToUint32(toMs(load.slots.expectedWait)));
+                out.set_wait_us(clampToUint32(toUs(load.slots.expectedWait)));
+                out.set_release_us(clampToUint32(toUs(load.slots.releaseInterval)));
+                out.set_demand_milli(clampToUint32(static_cast<std::int64_t>(load.slots.demand * 1000)));
                 out.set_cores_free_milli(load.coresFreeMilli);
             }
         }
@@ -202,7 +204,12 @@
             load.shard = ShardId(in.shard());
             load.term = Term(in.term());
             load.level = static_cast<HoldLevel>(in.level());
-            load.slots = { in.slots_free(), in.slots_total(), in.queued(), std::chrono::milliseconds(in.wait_ms()) };
+            load.slots.slotsFree = in.slots_free();
+            load.slots.slotsTotal = in.slots_total();
+            load.slots.queued = in.queued();
+            load.slots.expectedWait = std::chrono::microseconds(in.wait_us());
+            load.slots.releaseInterval = std::chrono::microseconds(in.release_us());
+            load.slots.demand = in.demand_milli() / 1000.0;
             load.coresFreeMilli = in.cores_free_milli();
             message.loads.push_back(std::move(load));
         }
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -83,8 +83,8 @@
 bool PeerLink::start(std::string& problem)
 {
     m_sockets = std::make_unique<Sockets>();
-    const std::string identity = std::string(1, m_config.gateway ? gatewayMark : schedulerMark) + "/"
-        + m_config.self.value + "/" + std::to_string(m_config.incarnation.value);
+    m_sockets->peers.resize(m_config.peers.size());
+    m_connections.resize(m_config.peers.size());
     try {
         if (!m_config.bind.empty()) {
             m_sockets->router = zmq::socket_t(m_sockets->context, zmq::socket_type::router);
@@ -95,18 +95,8 @@
             const std::string endpoint = m_sockets->router.get(zmq::sockopt::last_endpoint);
             m_boundAddress = endpoint.substr(endpoint.rfind('/') + 1);
         }
-        for (const PeerAddress& peer : m_config.peers) {
-            zmq::socket_t socket(m_sockets->context, zmq::socket_type::dealer);
-            setCommonOptions(socket);
-            // Without a connection a send must fail at once: a kept message would reach a later run of the peer.
-            socket.set(zmq::sockopt::immediate, true);
-            socket.set(zmq::sockopt::routing_id, identity);
-            socket.set(zmq::sockopt::reconnect_ivl, 100);
-            socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
-            socket.set(zmq::sockopt::connect_timeout, 1000);
-            socket.connect("tcp://" + peer.address);
-            m_sockets->peers.push_back(std::move(socket));
-        }
+        for (std::size_t i = 0; i < m_config.peers.size(); ++i)
+            connectPeer(i);
     } catch (const zmq::error_t& error) {
         problem = error.what();
         return false;
@@ -115,6 +105,40 @@
     return true;
 }
 
+/** Opens a new connection to a peer in place of the present one. */
+void PeerLink::connectPeer(std::size_t index)
+{
+    Connection& connection = m_connections[index];
+    // Each connection has an identity of its own: the peer must not route answers to an earlier one that is silent.
+    const std::string identity = std::string(1, m_config.gateway ? gatewayMark : schedulerMark) + "/"
+        + m_config.self.value + "/" + std::to_string(m_config.incarnation.value) + "/"
+        + std::to_string(++connection.generation);
+    zmq::socket_t socket(m_sockets->context, zmq::socket_type::dealer);
+    setCommonOptions(socket);
+    // Without a connection a send must fail at once: a kept message would reach a later run of the peer.
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::routing_id, identity);
+    socket.set(zmq::sockopt::reconnect_ivl, 100);
+    socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
+    socket.set(zmq::sockopt::connect_timeout, 1000);
+    socket.connect("tcp://" + m_config.peers[index].address);
+    m_sockets->peers[index] = std::move(socket);
+    connection.heardAt = BootClock::now();
+}
+
+/** Replaces connections over which no answer has come for silentAfter. @return True if one was replaced. */
+bool PeerLink::reconnectSilent(Time now)
+{
+    bool replaced = false;
+    for (std::size_t i = 0; i < m_connections.size(); ++i) {
+        if (now - m_connections[i].heardAt < m_config.silentAfter)
+            continue;
+        connectPeer(i);
+        replaced = true;
+    }
+    return replaced;
+}
+
 /** Sends what waits, ends the thread and closes the sockets. */
 void PeerLink::stop()
 {
@@ -141,11 +165,14 @@
 void PeerLink::loop()
 {
     std::vector<zmq::pollitem_t> items;
-    items.push_back({ nullptr, m_ring.wakeFd(), ZMQ_POLLIN, 0 });
-    for (zmq::socket_t& socket : m_sockets->peers)
-        items.push_back({ socket.handle(), 0, ZMQ_POLLIN, 0 });
-    if (m_sockets->router)
-        items.push_back({ m_sockets->router.handle(), 0, ZMQ_POLLIN, 0 });
+    const auto listSockets = [&] {
+        items.assign(1, { nullptr, m_ring.wakeFd(), ZMQ_POLLIN, 0 });
+        for (zmq::socket_t& socket : m_sockets->peers)
+            items.push_back({ socket.handle(), 0, ZMQ_POLLIN, 0 });
+        if (m_sockets->router)
+            items.push_back({ m_sockets->router.handle(), 0, ZMQ_POLLIN, 0 });
+    };
+    listSockets();
     Time nextTick = BootClock::now();
     while (!m_stopping.load(std::memory_order_relaxed)) {
         const Time now = BootClock::now();
@@ -153,6 +180,8 @@
             nextTick = now + tickInterval;
             if (m_hooks.ticked)
                 m_hooks.ticked(now);
+            if (reconnectSilent(now))
+                listSockets();
         }
         zmq_poll(items.data(), static_cast<int>(items.size()),
             static_cast<long>(std::chrono::ceil<std::chrono::milliseconds>(nextTick - now).count()));
@@ -198,6 +227,7 @@
         if (!m_sockets->peers[index].recv(frame, zmq::recv_flags::dontwait))
             return;
         m_peerTraffic[index].in->add(frame.size());
+        m_connections[index].heardAt = BootClock::now();
         take(frame.to_string_view(), {}, m_config.peers[index].host);
     }
 }
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -28,6 +28,8 @@
     bool gateway = false; ///< Kind of this process.
     std::string bind; ///< `ip:port` of the own ROUTER socket, empty for none.
     std::vector<PeerAddress> peers;
+    /** A connection without a frame from the peer for this time is replaced; peers answer each heartbeat. */
+    std::chrono::milliseconds silentAfter { 2500 };
 };
 
 /** What the link reports; all called on its thread. */
@@ -70,7 +72,15 @@
         Counter* out = nullptr;
     };
 
+    /** State of the connection to one peer. */
+    struct Connection {
+        Time heardAt {}; ///< Last frame from the peer, or the last reconnection.
+        std::uint64_t generation = 0; ///< Number of reconnections.
+    };
+
     void loop();
+    void connectPeer(std::size_t index);
+    bool reconnectSilent(Time now);
     void receiveRouter();
     void receivePeer(std::size_t index);
     void take(std::string_view bytes, ReplyRoute&& route, const HostId& expected);
@@ -88,6 +98,7 @@
     Ring<Outgoing> m_ring;
     std::map<HostId, std::size_t> m_peerIndex;
     std::vector<Traffic> m_peerTraffic;
+    std::vector<Connection> m_connections;
     Traffic m_routerTraffic;
     std::array<Counter*, 4> m_dropped {}; ///< By FrameProblem; the first one counts frames of a wrong sender.
     Counter& m_unroutable;
--- a/src/prompt_targets.cpp
+++ b/src/prompt_targets.cpp
@@ -197,6 +197,8 @@
             load.slots.slotsTotal += part.slotsTotal;
             load.slots.queued += part.queued;
             load.slots.expectedWait = std::max(load.slots.expectedWait, part.expectedWait);
+            load.slots.releaseInterval = std::max(load.slots.releaseInterval, part.releaseInterval);
+            load.slots.demand += part.demand;
         }
         loads.push_back(load);
     }
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -279,7 +279,11 @@
         state.tracker = std::make_unique<SizeTracker>(state.charged);
     if (!state.tracker->report(capped, now))
         return;
-    const Resources wanted = minOf(state.tracker->size(), m_pool.workers()[state.worker].info.capacity);
+    // The worker goes on counting the granted size, so a smaller reservation here would lead to refused starts.
+    const Resources wanted
+        = minOf(maxOf(state.tracker->size(), state.granted), m_pool.workers()[state.worker].info.capacity);
+    if (wanted == state.charged)
+        return;
     m_pool.resize(state.worker, { job->serial, index }, wanted);
     m_quota.credit(job->team, state.charged);
     m_quota.charge(job->team, wanted);
@@ -403,6 +407,7 @@
     task.stopping = false;
     task.worker = worker;
     task.charged = size;
+    task.granted = size;
     task.startedAt = now;
     task.tracker.reset();
     const Duration run = UsageModel::expectedRun(*job.usage, job.spec.runTime);
--- a/src/task_scheduler.h
+++ b/src/task_scheduler.h
@@ -106,6 +106,7 @@
         std::uint32_t failures = 0;
         WorkerIndex worker = noWorker;
         Resources charged; ///< Charged to the team's quota.
+        Resources granted; ///< Size in the start call; the worker reserves it until the task ends.
         Time startedAt {};
         std::unique_ptr<SizeTracker> tracker; ///< Set from the first report on.
         std::vector<WorkerIndex> failedOn; ///< Different workers.
--- a/src/time_type.h
+++ b/src/time_type.h
@@ -39,4 +39,14 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/**
+ * Whole microseconds of a duration, rounded down.
+ * @param duration Duration.
+ * @return Number of microseconds.
+ */
+constexpr std::int64_t toUs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+}
+
 } // namespace sp
--- a/tests/test_peer_link.cpp
+++ b/tests/test_peer_link.cpp
@@ -142,3 +142,22 @@
     CHECK(answer.draining);
     CHECK(frame.incarnation == Incarnation(5));
 }
+
+// Guards against a peer that stays unreachable because its answers go to an earlier connection: after SIGCONT of a
+// stopped scheduler its peer counted as dead until the end of the run.
+TEST_CASE("a connection without answers is replaced by one with another identity")
+{
+    Node receiver(scheduler("h2"));
+    PeerLinkConfig config = scheduler("h1");
+    config.peers = { { HostId("h2"), receiver.link.boundAddress() } };
+    config.silentAfter = std::chrono::milliseconds(100);
+    Node sender(config);
+    sender.sendUntilTaken(HostId("h2"), prompt(), receiver);
+    const std::string first = receiver.takeFrame().first.link;
+    std::string later = first;
+    while (later == first) {
+        sender.sendUntilTaken(HostId("h2"), prompt(), receiver);
+        later = receiver.takeFrame().first.link;
+    }
+    CHECK(later != first);
+}
