Fix: known answers are given while the store is away; requests that an owner did not take are offered to another one

Cause: a repeated key of non-idempotent work was refused as not_run at level promise although its answer was known, which a caller could take for its work not having run. Change: the key is looked up before the store is required; an unkeyed request that a peer certainly did not take is routed again, to at most three owners; the selector skips owners that can't be reached.

--- a/src/prompt_service.cpp
+++ b/src/prompt_service.cpp
@@ -10,6 +10,7 @@
 
     constexpr std::uint32_t maxHops = 2;
     constexpr std::uint32_t maxAttempts = 3;
+    constexpr std::uint32_t maxRoutings = 3; ///< Owners that a request without key is offered to.
     constexpr std::chrono::seconds answerGrace {
         1
     }; ///< A forwarded request's answer may arrive this long after its deadline.
@@ -58,19 +59,25 @@
     }
     if (!request.deadline)
         request.deadline = now + policy->deadline;
+    route(std::move(request), *policy, 1, now);
+}
+
+/** Admits a request here or forwards it to the owner of its shard. */
+void PromptService::route(PromptSubmitted request, const WorkloadPolicy& policy, std::uint32_t tries, Time now)
+{
     HostId owner;
     std::string reason = "forwarded by a peer";
     if (!request.shard.empty()) {
         owner = m_context.config.self;
-    } else if (const auto error = chooseShard(request, *policy, owner, reason, now)) {
+    } else if (const auto error = chooseShard(request, policy, owner, reason, now)) {
         m_context.journal.note(LogPart::Route, request.id.value, "is refused: " + reason + ".", now);
         m_context.refuse(request.route, request.id, *error, reason);
         return;
     }
     if (owner == m_context.config.self)
-        admitLocal(std::move(request), *policy, now);
+        admitLocal(std::move(request), policy, now);
     else
-        forward(std::move(request), owner, reason, now);
+        forward(std::move(request), owner, reason, tries, now);
 }
 
 /** Chooses the shard and its owner. @return Error kind if there is none, with the reason. */
@@ -89,7 +96,12 @@
     } else {
         for (const ShardLoad& load : loads(now))
             m_selector.loadReported(m_context.config.self, load, policy.service, Duration(0), true, now);
-        const auto choice = m_selector.choose(policy.service, now);
+        auto choice = m_selector.choose(policy.service, now);
+        // A dead owner's last load stays fresh for a while; its shards must not draw requests.
+        while (choice && choice->owner != m_context.config.self && !m_context.isReachable(choice->owner, now)) {
+            m_selector.forgetOwner(choice->owner);
+            choice = m_selector.choose(policy.service, now);
+        }
         if (!choice) {
             reason = "no owner with slots of service '" + policy.service + "' is known";
             return ErrorKind::NoOwner;
@@ -105,11 +117,12 @@
     return std::nullopt;
 }
 
-void PromptService::forward(PromptSubmitted request, const HostId& owner, const std::string& reason, Time now)
+void PromptService::forward(
+    PromptSubmitted request, const HostId& owner, const std::string& reason, std::uint32_t tries, Time now)
 {
     m_context.journal.note(LogPart::Route, request.id.value,
         "goes to " + owner.value + " for shard " + request.shard.value + ": " + reason + ".", now);
-    m_forwarded[request.id] = { request.route, owner, *request.deadline + answerGrace, false };
+    m_forwarded[request.id] = { request, owner, *request.deadline + answerGrace, tries };
     ++request.hops;
     m_context.emit(ForwardPrompt { owner, std::move(request) });
 }
@@ -124,12 +137,6 @@
             "shard " + request.shard.value + " is held at level " + holdLevelName(level));
         return;
     }
-    const bool needsRecord = !policy.idempotent && !request.key.empty();
-    if (needsRecord && level != HoldLevel::Store) {
-        m_context.refuse(
-            request.route, request.id, ErrorKind::StoreUnavailable, "work that is not idempotent needs a store record");
-        return;
-    }
     Request entry;
     entry.waiters.push_back({ request.route, request.id });
     entry.shard = request.shard;
@@ -140,6 +147,12 @@
         entry.digest = sha256Hex(request.workload.value + '\n' + (request.payload ? *request.payload : std::string()));
         if (joinKeyed(request, entry.keyName, entry.digest, now))
             return;
+        // A known answer is given above even while the store is away; a first run needs the store.
+        if (!policy.idempotent && level != HoldLevel::Store) {
+            m_context.refuse(request.route, request.id, ErrorKind::StoreUnavailable,
+                "work that is not idempotent needs a store record");
+            return;
+        }
         // Targets see the key's hash as the id, so that a later owner learns from reports which keys still run.
         runId = RequestId("k-" + entry.keyName);
         m_context.journal.relate(request.id.value, runId.value, now);
@@ -165,7 +178,7 @@
     }
     entry.work = { runId, request.caller, request.team, request.workload, *request.deadline, now };
     m_requests[runId] = std::move(entry);
-    if (needsRecord)
+    if (!policy.idempotent && !request.key.empty())
         recordThenAdmit(runId, now);
     else
         admit(runId, now);
@@ -479,16 +492,35 @@
     m_context.answer(cancel.route, done);
 }
 
-/** Passes the answer of a forwarded request on. @param answered Answer of a peer. @param now Present time. */
+/**
+ * Passes the answer of a forwarded request on. A request without key that the peer certainly did not take is routed
+ * again: during a take-over or hand-over other shards have room.
+ * @param answered Answer of a peer.
+ * @param now Present time.
+ */
 void PromptService::peerAnswered(const PeerAnswered& answered, Time now)
 {
-    (void)now;
     auto node = m_forwarded.extract(answered.answer.id);
     if (node.empty()) {
         m_context.metrics->counter("sp_late_answers_total", "Answers of peers that nothing waits for.").add();
         return;
     }
-    m_context.answer(node.mapped().route, answered.answer);
+    Forwarded& forwarded = node.mapped();
+    const ErrorKind error = answered.answer.error;
+    const bool notTaken
+        = error == ErrorKind::OwnerUnreachable || error == ErrorKind::NoOwner || error == ErrorKind::Draining;
+    if (notTaken)
+        m_selector.forgetOwner(answered.peer);
+    const WorkloadPolicy* policy = m_context.workload(forwarded.request.workload);
+    const bool mayRetry = notTaken && policy && forwarded.request.key.empty() && forwarded.tries < maxRoutings
+        && !m_context.draining && now < *forwarded.request.deadline;
+    if (!mayRetry) {
+        m_context.answer(forwarded.request.route, answered.answer);
+        return;
+    }
+    m_context.metrics->counter("sp_reroutes_total", "Requests routed again after an owner did not take them.").add();
+    forwarded.request.shard = {};
+    route(std::move(forwarded.request), *policy, forwarded.tries + 1, now);
 }
 
 /** Answers what was forwarded to a peer that is dead. It may have run there. @param peer Peer. @param now Present time.
@@ -499,7 +531,8 @@
     m_selector.forgetOwner(peer);
     for (auto it = m_forwarded.begin(); it != m_forwarded.end();) {
         if (it->second.to == peer) {
-            m_context.refuse(it->second.route, it->first, ErrorKind::AnswerLost, "owner " + peer.value + " is dead");
+            m_context.refuse(
+                it->second.request.route, it->first, ErrorKind::AnswerLost, "owner " + peer.value + " is dead");
             it = m_forwarded.erase(it);
         } else {
             ++it;
--- a/src/prompt_service.h
+++ b/src/prompt_service.h
@@ -52,10 +52,10 @@
     };
     /** A request that another scheduler owns. */
     struct Forwarded {
-        ReplyRoute route;
+        PromptSubmitted request; ///< As it came in, to choose another owner if this one certainly did not take it.
         HostId to;
         Time until {};
-        bool idempotentRetry = false;
+        std::uint32_t tries = 1;
     };
     /** What is known of an idempotency key. */
     struct KeyEntry {
@@ -78,7 +78,9 @@
 
     std::optional<ErrorKind> chooseShard(
         PromptSubmitted& request, const WorkloadPolicy& policy, HostId& owner, std::string& reason, Time now);
-    void forward(PromptSubmitted request, const HostId& owner, const std::string& reason, Time now);
+    void route(PromptSubmitted request, const WorkloadPolicy& policy, std::uint32_t tries, Time now);
+    void forward(
+        PromptSubmitted request, const HostId& owner, const std::string& reason, std::uint32_t tries, Time now);
     void admitLocal(PromptSubmitted request, const WorkloadPolicy& policy, Time now);
     bool joinKeyed(const PromptSubmitted& request, const std::string& keyName, const std::string& digest, Time now);
     void recordThenAdmit(const RequestId& runId, Time now);
--- a/src/prompt_targets.cpp
+++ b/src/prompt_targets.cpp
@@ -160,7 +160,8 @@
             ++it;
             continue;
         }
-        m_context.refuse(it->second.route, it->first, ErrorKind::AnswerLost, "no answer of the owner by the deadline");
+        m_context.refuse(
+            it->second.request.route, it->first, ErrorKind::AnswerLost, "no answer of the owner by the deadline");
         it = m_forwarded.erase(it);
     }
     while (!m_recentOrder.empty() && now - m_recentOrder.front().first > recentMemory) {
--- a/tests/core_fixture.h
+++ b/tests/core_fixture.h
@@ -23,6 +23,7 @@
     std::vector<CallStore> held;
     Time now { std::chrono::hours(1) };
     std::vector<RunPrompt> runs;
+    std::vector<ForwardPrompt> forwarded;
     std::vector<StartTask> starts;
     std::vector<StopTask> stops;
     std::map<std::string, AnswerMessage> answers;
@@ -218,6 +219,7 @@
 
     void act(const SendAnswer& action) { answers[action.answer.id.value] = action.answer; }
     void act(const RunPrompt& action) { runs.push_back(action); }
+    void act(const ForwardPrompt& action) { forwarded.push_back(action); }
     void act(const StartTask& action)
     {
         starts.push_back(action);
--- a/tests/test_gang_planner.cpp
+++ b/tests/test_gang_planner.cpp
@@ -159,7 +159,7 @@
             pool.setUsable(worker, true);
             Reservation task;
             task.key = { 1, static_cast<std::uint32_t>(i) };
-            task.wanted = { (used[i] % 9) * 1000, 0, 0 };
+            task.wanted = { std::int64_t(used[i] % 9) * 1000, 0, 0 };
             pool.reserve(worker, task);
             possible += (8u - used[i] % 9) / 2;
         }
--- a/tests/test_scheduler_core.cpp
+++ b/tests/test_scheduler_core.cpp
@@ -174,3 +174,50 @@
     CHECK(text.find(job.value + " place: is queued") != std::string::npos);
     CHECK(text.find(makeTaskId(job, 1).value + " place: goes to w") != std::string::npos);
 }
+
+// Guards against "not run" for work that ran: the answer of a keyed request was refused while the store was away.
+TEST_CASE("a repeated key gets its known answer while the store is away")
+{
+    CoreFixture cell;
+    cell.settle();
+    cell.submitPrompt("r1", "charge", "payload", "key");
+    REQUIRE(cell.runs.size() == 1);
+    cell.endCall(cell.runs[0].call, CallEnd::Completed, "answer");
+    cell.storeMode = StoreMode::Down;
+    cell.advance(std::chrono::seconds(6));
+    cell.submitPrompt("r2", "charge", "payload", "key");
+    CHECK(cell.runs.size() == 1);
+    CHECK(cell.answers["r2"].error == ErrorKind::Ok);
+}
+
+// Guards against refusing all requests during a take-over although an own shard has room.
+TEST_CASE("a request that an owner did not take is offered to another one")
+{
+    CoreFixture cell(Incarnation(1), { PeerConfig { HostId("e2"), DataCentreId("dc1"), Duration(0) } });
+    cell.settle();
+    PeerHeartbeat heartbeat { HostId("e2"), Incarnation(1), {} };
+    heartbeat.heartbeat.sentAt = Time(std::chrono::seconds(1));
+    heartbeat.heartbeat.dataCentre = DataCentreId("dc1");
+    ShardLoad load;
+    load.shard = ShardId("dc1.slots.9");
+    load.level = HoldLevel::Store;
+    load.slots.slotsFree = load.slots.slotsTotal = 1000;
+    heartbeat.heartbeat.loads = { load };
+    // The own slots are taken, so that the peer is preferred.
+    for (int i = 0; i < 6; ++i)
+        cell.submitPrompt("full" + std::to_string(i), "check", "payload");
+    REQUIRE(cell.runs.size() == 6);
+    cell.core.handle(heartbeat, cell.now);
+    PeerHeartbeatAck ack { HostId("e2"), Incarnation(1), {} };
+    ack.ack.sentAt = cell.now;
+    cell.core.handle(ack, cell.now);
+    cell.submitPrompt("r1", "check", "payload");
+    CHECK(cell.forwarded.size() == 1);
+    AnswerMessage refusal;
+    refusal.id = RequestId("r1");
+    refusal.error = ErrorKind::OwnerUnreachable;
+    cell.core.handle(PeerAnswered { HostId("e2"), refusal }, cell.now);
+    CHECK_FALSE(cell.answers.contains("r1"));
+    cell.endCall(cell.runs[0].call, CallEnd::Completed, "answer");
+    CHECK(cell.runs.size() == 7);
+}
--- a/tests/test_shard_selector.cpp
+++ b/tests/test_shard_selector.cpp
@@ -105,6 +105,7 @@
     CHECK(rc::check([](const std::vector<std::pair<std::uint16_t, std::uint16_t>>& values, std::uint64_t random) {
         RC_PRE(!values.empty());
         std::vector<ShardCandidate> candidates;
+        candidates.reserve(values.size());
         for (const auto& [wait, room] : values)
             candidates.push_back({ Duration(wait), Duration(room), Duration(wait), room / 100.0, room / 100.0, false });
         for (const auto& picker : { pickShortestWait, pickRandom, pickLeastLoaded, pickPowerOfTwo })
