--- a/src/job_service.cpp
+++ b/src/job_service.cpp
@@ -253,6 +253,11 @@
                 "the hold on shard " + shardId.value + " was lost");
         return;
     }
+    if (shard.jobs.contains(submission.spec.id)) {
+        // Two submissions under one key were in flight and the other one has queued the job.
+        answerStatus(submission.route, submission.id, shardId, submission.spec.id, ErrorKind::Ok);
+        return;
+    }
     Job job;
     job.record.spec = submission.spec;
     job.record.digest = jobDigest(submission.spec);
