Fix: the running tasks of an adopted job are followed at once

Cause: a recovered job is adopted with the tasks that reports list as running, but they were followed only from the next report on. If that report listed them as finished only, their ends were ignored and the job never ended. Change: adoption follows the tasks that the workers' last reports list.

--- a/src/job_recovery.cpp
+++ b/src/job_recovery.cpp
@@ -145,6 +145,23 @@
     }
 }
 
+/** Follows the running tasks of a job that was just adopted: the next report may list them as finished only. */
+void JobService::followAdopted(Shard& shard, const JobId& jobId, Time now)
+{
+    for (const auto& [target, worker] : shard.workers) {
+        for (const TaskId& task : worker.running) {
+            std::uint32_t index = 0;
+            if (jobOfTask(task, index) != jobId || shard.active.contains(task))
+                continue;
+            ActiveTask adopted;
+            adopted.start = { task, jobId, index, target, {}, "reported as running" };
+            adopted.state = StartState::Confirmed;
+            adopted.changedAt = now;
+            shard.active.emplace(task, adopted);
+        }
+    }
+}
+
 /**
  * Hands recovered jobs to the task scheduler once it is certain where each of their tasks runs. A task that no worker
  * reports may still run on a worker that has not answered; starting it elsewhere would run it twice.
@@ -180,6 +197,7 @@
         } else {
             shard.scheduler.adopt(job.record.spec,
                 std::vector<std::uint32_t>(job.record.finished.begin(), job.record.finished.end()), now);
+            followAdopted(shard, jobId, now);
         }
         it = shard.recovering.erase(it);
     }
--- a/src/job_service.h
+++ b/src/job_service.h
@@ -108,6 +108,7 @@
     void saveJobs(const ShardId& shardId, Shard& shard, Time now);
     void writeRecord(const ShardId& shardId, const JobId& job, Time now);
     void loadJobs(const ShardId& shardId, Shard& shard, Time now);
+    static void followAdopted(Shard& shard, const JobId& jobId, Time now);
     void adoptRecovered(const ShardId& shardId, Shard& shard, Time now);
     bool isAccounted(const ShardId& shardId, const Shard& shard, std::chrono::milliseconds lease, Time now) const;
     void noteRecoveredEnd(Shard& shard, const FinishedTask& finished);
