Codechange: one function makes the tokens of store records

Cause: three places built the token of a record from host, incarnation and sequence. Change: CoreContext::newToken serves all three; behaviour is unchanged. Conclusion: the format of a token stands once.

--- a/src/core_context.cpp
+++ b/src/core_context.cpp
@@ -83,6 +83,12 @@
         print(out, other, first, depth + 1);
 }
 
+/** @return Text that no other write of the cell carries, to recognise a write whose answer was lost. */
+std::string CoreContext::newToken()
+{
+    return config.self.value + "-" + std::to_string(config.incarnation.value) + "-" + std::to_string(newSequence());
+}
+
 /** Calls the store. @param request Call. @param callback Called with the reply. @return Ticket of the call. */
 StoreTicket CoreContext::callStore(StoreRequest request, StoreCallback callback)
 {
--- a/src/core_context.h
+++ b/src/core_context.h
@@ -85,6 +85,7 @@
     bool storeReplied(const StoreReply& reply, Time now);
     CallId newCall() { return CallId(++m_lastCall); }
     std::uint64_t newSequence() { return ++m_lastSequence; }
+    std::string newToken();
     const WorkloadPolicy* workload(const WorkloadId& id) const;
     std::optional<HostId> ownerOf(const ShardId& shard, Time now) const;
     bool isReachable(const HostId& peer, Time now) const;
--- a/src/job_service.cpp
+++ b/src/job_service.cpp
@@ -169,8 +169,7 @@
     record.spec = submission.spec;
     record.digest = jobDigest(submission.spec);
     record.term = m_context.ownership->term(shardId);
-    record.token = m_context.config.self.value + "-" + std::to_string(m_context.config.incarnation.value) + "-"
-        + std::to_string(m_context.newSequence());
+    record.token = m_context.newToken();
     const std::string key = jobRecordKey(shardId, submission.spec.id);
     StoreTxn txn;
     txn.compares = { { StoreCompare::Kind::Absent, key, {}, {} }, m_context.termCompare(shardId) };
--- a/src/job_tasks.cpp
+++ b/src/job_tasks.cpp
@@ -77,8 +77,7 @@
         jobOfTask(task, index);
         job.record.started.insert(index);
     }
-    job.record.token = m_context.config.self.value + "-" + std::to_string(m_context.config.incarnation.value) + "-"
-        + std::to_string(m_context.newSequence());
+    job.record.token = m_context.newToken();
     job.record.term = m_context.ownership->term(shardId);
     job.writing = true;
     StoreTxn txn;
--- a/src/prompt_service.cpp
+++ b/src/prompt_service.cpp
@@ -222,8 +222,7 @@
 {
     (void)now;
     const Request& request = m_requests[runId];
-    const std::string token = m_context.config.self.value + "-" + std::to_string(m_context.config.incarnation.value)
-        + "-" + std::to_string(m_context.newSequence());
+    const std::string token = m_context.newToken();
     const nlohmann::json value { { "digest", request.digest }, { "token", token }, { "state", "started" } };
     StoreTxn txn;
     txn.compares = { { StoreCompare::Kind::Absent, runsKey(request), {}, {} }, m_context.termCompare(request.shard) };
