--- /dev/null
+++ b/src/cell_job.cpp
@@ -0,0 +1,278 @@
+#include "cell_job.h"
+
+#include "proto/cell.pb.h"
+
+#include <algorithm>
+
+namespace sp {
+
+namespace {
+
+    constexpr std::size_t maxTasks = 100000; ///< Tasks of one occurrence; bounds the memory that one job can take.
+
+    std::chrono::milliseconds ms(std::int64_t count) { return std::chrono::milliseconds(count); }
+
+    void stepToProto(const StepSpec& step, proto::CellStepSpec& out)
+    {
+        out.set_tasks(step.tasks);
+        out.set_cores_milli(step.demand.coresMilli);
+        out.set_memory_mb(step.demand.memoryMb);
+        out.set_accelerators(step.demand.accelerators);
+        out.set_estimate_ms(static_cast<std::uint32_t>(step.estimate.count()));
+        for (const std::uint32_t before : step.after)
+            out.add_after(before);
+        out.set_checkpointing(step.checkpointing);
+        out.set_gang(step.gang);
+        out.set_colocated(step.colocated);
+        out.set_speculative(step.speculative);
+        out.set_lasting(step.lasting);
+        out.set_required_label(step.requiredLabel);
+        out.set_near_rack(step.nearRack.value);
+        out.set_per_target_limit(step.perTargetLimit);
+        out.set_image(step.image);
+        out.set_tail_target_ms(static_cast<std::uint32_t>(step.tailTarget.count()));
+        out.set_fills(step.fills);
+        out.set_max_unavailable(step.maxUnavailable);
+    }
+
+    StepSpec stepFromProto(const proto::CellStepSpec& in)
+    {
+        StepSpec step;
+        step.tasks = in.tasks();
+        step.demand = { in.cores_milli(), in.memory_mb(), in.accelerators() };
+        step.estimate = ms(in.estimate_ms());
+        step.after.assign(in.after().begin(), in.after().end());
+        step.checkpointing = in.checkpointing();
+        step.gang = in.gang();
+        step.colocated = in.colocated();
+        step.speculative = in.speculative();
+        step.lasting = in.lasting();
+        step.requiredLabel = in.required_label();
+        step.nearRack = RackId(in.near_rack());
+        step.perTargetLimit = in.per_target_limit();
+        step.image = in.image();
+        step.tailTarget = ms(in.tail_target_ms());
+        step.fills = in.fills();
+        step.maxUnavailable = in.max_unavailable();
+        return step;
+    }
+
+} // namespace
+
+/**
+ * Makes the state of an occurrence unless it is there.
+ * @param number Occurrence.
+ * @return Its state.
+ */
+OccurrenceState& CellJob::beginOccurrence(std::uint32_t number)
+{
+    const auto [it, added] = occurrences.try_emplace(number);
+    if (added) {
+        it->second.steps.resize(spec.steps.size());
+        for (std::size_t i = 0; i < spec.steps.size(); ++i)
+            it->second.steps[i].tasks.resize(spec.steps[i].tasks);
+    }
+    return it->second;
+}
+
+/** State of a step. @param key Step of this job. @return State, null if it has not begun or does not exist. */
+StepState* CellJob::step(const StepKey& key)
+{
+    const auto it = occurrences.find(key.occurrence);
+    if (it == occurrences.end() || key.step >= it->second.steps.size())
+        return nullptr;
+    return &it->second.steps[key.step];
+}
+
+/** State of a task. @param key Task of this job. @return State, null if it has not begun or does not exist. */
+TaskState* CellJob::task(const CellTaskKey& key)
+{
+    StepState* found = step(key.stepKey());
+    return found && key.index < found->tasks.size() ? &found->tasks[key.index] : nullptr;
+}
+
+/** Whether all steps before a step are complete. @param occurrence Occurrence. @param step Index. @return True if so.
+ */
+bool CellJob::stepReady(const OccurrenceState& occurrence, std::size_t step) const
+{
+    const auto& after = spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t i) { return occurrence.steps[i].complete(); });
+}
+
+/** Whether all tasks of an occurrence are done. @param occurrence Occurrence. @return True if so. */
+bool CellJob::occurrenceComplete(const OccurrenceState& occurrence) const
+{
+    return std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [](const auto& s) { return s.complete(); });
+}
+
+/**
+ * Length of the longest chain of steps by their estimates.
+ * @param steps Steps; each refers to earlier ones only.
+ * @param perStep Added for each step, such as the time of an advisor's call.
+ * @return Time that the job takes when nothing waits.
+ */
+std::chrono::milliseconds longestChain(const std::vector<StepSpec>& steps, std::chrono::milliseconds perStep)
+{
+    std::vector<std::chrono::milliseconds> ends(steps.size());
+    std::chrono::milliseconds longest { 0 };
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        std::chrono::milliseconds begin { 0 };
+        for (const std::uint32_t before : steps[i].after)
+            begin = std::max(begin, ends[before]);
+        ends[i] = begin + steps[i].estimate + perStep;
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+/** What makes a job impossible to run whatever the targets. @param spec Job. @return Problem, if there is one. */
+std::optional<std::string> jobSpecProblem(const CellJobSpec& spec)
+{
+    if (spec.steps.empty())
+        return "a job needs at least one step";
+    std::size_t tasks = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        const StepSpec& step = spec.steps[i];
+        if (step.tasks == 0)
+            return "step " + std::to_string(i) + " has no tasks";
+        if (step.demand.coresMilli < 0 || step.demand.memoryMb < 0 || step.demand.accelerators < 0)
+            return "step " + std::to_string(i) + " asks for a negative amount";
+        for (const std::uint32_t before : step.after) {
+            if (before >= i)
+                return "step " + std::to_string(i) + " comes after step " + std::to_string(before);
+        }
+        tasks += step.tasks;
+    }
+    if (tasks > maxTasks)
+        return "a job has at most " + std::to_string(maxTasks) + " tasks";
+    return std::nullopt;
+}
+
+/** Fills a message with a job's specification. @param spec Job. @param out Message. */
+void toProto(const CellJobSpec& spec, proto::CellJobSpec& out)
+{
+    out.set_job(spec.id.value);
+    out.set_queue(spec.queue.value);
+    out.set_service(spec.service.value);
+    out.set_payload(spec.payload);
+    for (const StepSpec& step : spec.steps)
+        stepToProto(step, *out.add_steps());
+    out.set_first_due_ms(spec.schedule.firstDue.time_since_epoch().count());
+    out.set_interval_ms(spec.schedule.interval.count());
+    out.set_occurrences(spec.schedule.occurrences);
+}
+
+/** Reads a job's specification from a message. @param in Message. @return Job. */
+CellJobSpec fromProto(const proto::CellJobSpec& in)
+{
+    CellJobSpec spec;
+    spec.id = JobId(in.job());
+    spec.queue = QueueId(in.queue());
+    spec.service = ServiceId(in.service());
+    spec.payload = in.payload();
+    for (const proto::CellStepSpec& step : in.steps())
+        spec.steps.push_back(stepFromProto(step));
+    spec.schedule = { CalendarTime(ms(in.first_due_ms())), ms(in.interval_ms()), in.occurrences() };
+    return spec;
+}
+
+/** Bytes of a job's specification for the store. @param spec Job. @return Bytes. */
+std::string encodeJobSpec(const CellJobSpec& spec)
+{
+    proto::CellJobSpec message;
+    toProto(spec, message);
+    return message.SerializeAsString();
+}
+
+/** Specification from the store. @param bytes Bytes. @return Job, nothing if the bytes are not valid. */
+std::optional<CellJobSpec> decodeJobSpec(const std::string& bytes)
+{
+    proto::CellJobSpec message;
+    if (!message.ParseFromString(bytes))
+        return std::nullopt;
+    CellJobSpec spec = fromProto(message);
+    if (jobSpecProblem(spec))
+        return std::nullopt;
+    return spec;
+}
+
+/** Bytes of a job's progress for the store. @param job Job. @return Bytes. */
+std::string encodeJobRecord(const CellJob& job)
+{
+    proto::CellJobRecord record;
+    record.set_job(job.spec.id.value);
+    record.set_queue(job.spec.queue.value);
+    record.set_state(static_cast<std::uint32_t>(job.state));
+    record.set_begun(job.begun);
+    record.set_occurrences_ended(job.occurrencesEnded);
+    record.set_accepted_ms(job.acceptedAt.time_since_epoch().count());
+    if (isFinal(job.state))
+        return record.SerializeAsString();
+    for (const auto& [number, occurrence] : job.occurrences) {
+        auto& out = *record.add_occurrences();
+        out.set_number(number);
+        for (const StepState& step : occurrence.steps) {
+            auto& outStep = *out.add_steps();
+            for (const TaskState& task : step.tasks) {
+                auto& outTask = *outStep.add_tasks();
+                outTask.set_run(task.run);
+                outTask.set_failures(task.failures);
+                outTask.set_done(task.done);
+                if (!task.done) {
+                    outTask.set_target(task.recordedTarget.value);
+                    outTask.set_checkpoint(task.checkpoint);
+                }
+            }
+        }
+    }
+    return record.SerializeAsString();
+}
+
+/**
+ * Reads a job's progress. The specification must be there unless the job has ended.
+ * @param bytes Bytes from the store.
+ * @param job Job whose progress is set.
+ * @return False if the bytes are not valid or do not fit the specification.
+ */
+bool decodeJobRecord(const std::string& bytes, CellJob& job)
+{
+    proto::CellJobRecord record;
+    if (!record.ParseFromString(bytes) || record.state() > static_cast<std::uint32_t>(JobState::Cancelled))
+        return false;
+    job.spec.id = JobId(record.job());
+    job.spec.queue = QueueId(record.queue());
+    job.state = static_cast<JobState>(record.state());
+    job.shownState = job.state;
+    job.stored = true;
+    job.begun = record.begun();
+    job.occurrencesEnded = record.occurrences_ended();
+    job.acceptedAt = CalendarTime(ms(record.accepted_ms()));
+    if (isFinal(job.state))
+        return true;
+    if (job.spec.steps.empty())
+        return false;
+    for (const auto& in : record.occurrences()) {
+        OccurrenceState& occurrence = job.beginOccurrence(in.number());
+        if (static_cast<std::size_t>(in.steps_size()) != occurrence.steps.size())
+            return false;
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            StepState& step = occurrence.steps[s];
+            const auto& inStep = in.steps(static_cast<int>(s));
+            if (static_cast<std::size_t>(inStep.tasks_size()) != step.tasks.size())
+                return false;
+            for (std::size_t t = 0; t < step.tasks.size(); ++t) {
+                const auto& inTask = inStep.tasks(static_cast<int>(t));
+                TaskState& task = step.tasks[t];
+                task.run = inTask.run();
+                task.failures = inTask.failures();
+                task.done = inTask.done();
+                task.recordedTarget = TargetId(inTask.target());
+                task.checkpoint = inTask.checkpoint();
+                step.done += task.done ? 1 : 0;
+            }
+        }
+    }
+    return true;
+}
+
+} // namespace sp
--- /dev/null
+++ b/src/cell_owner.cpp
@@ -0,0 +1,422 @@
+#include "cell_owner.h"
+
+#include "log_line.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace sp {
+
+namespace {
+
+    constexpr std::chrono::milliseconds saveSoon { 4 }; ///< Lets records of one moment share a transaction.
+
+    constexpr std::size_t advisedTargets = 30; ///< Targets that an objective's call for advice is reckoned with.
+    constexpr std::size_t writesPerJob = 2; ///< Record, and specification written or removed.
+    constexpr std::size_t removalsPerBatch = 8; ///< Old records removed along with others.
+    constexpr std::chrono::seconds neverRunnableRetry { 30 }; ///< Targets of another size come within minutes, if ever.
+
+} // namespace
+
+/** @param bounds Bounds of the deployment. @param metrics Registry. @param hooks Surroundings. */
+CellOwner::CellOwner(CellBounds bounds, Metrics& metrics, CellOwnerHooks hooks)
+    : m_bounds(bounds)
+    , m_hooks(std::move(hooks))
+    , m_accepted(metrics.counter("sp_cell_jobs_accepted_total", "Jobs accepted and stored."))
+    , m_refused(metrics.counter("sp_cell_jobs_refused_total", "Jobs refused by the owner."))
+    , m_starts(metrics.counter("sp_cell_starts_total", "Start orders sent."))
+    , m_startsUnanswered(metrics.counter("sp_cell_starts_unanswered_total", "Start orders without an answer."))
+    , m_ends(metrics.counter("sp_cell_ends_total", "Ends of runs taken in."))
+    , m_stops(metrics.counter("sp_cell_stops_total", "Runs that were ordered to stop."))
+    , m_looks(metrics.counter("sp_cell_looks_total", "Reports asked of targets."))
+    , m_questions(metrics.counter("sp_cell_advice_questions_total", "Questions to the advisor."))
+    , m_openJobs(metrics.gauge("sp_cell_open_jobs", "Jobs that have not ended."))
+    , m_waitSeconds(metrics.histogram("sp_cell_task_wait_seconds", "Time from readiness of a task to its order."))
+    , m_saveSeconds(metrics.histogram("sp_cell_accept_seconds", "Time from submission to the stored record."))
+{
+}
+
+/** Gives up all decisions and forgets everything; the next owner reads it from the store and the targets. */
+void CellOwner::end(const std::string& reason)
+{
+    if (!m_active)
+        return;
+    m_active = false;
+    m_mayOrder = false;
+    LogLine(LogLevel::Warning, "owner_ended").with("token", m_token).with("reason", reason);
+    for (auto& [id, job] : m_jobs) {
+        for (const auto& effect : std::exchange(job->onSaved, {}))
+            effect(false);
+    }
+    m_jobs.clear();
+    m_open.clear();
+    m_dirty.clear();
+    m_removals.clear();
+    m_targets.clear();
+    m_wakeAt.reset();
+    m_openJobs.set(0);
+}
+
+CellJob* CellOwner::find(const JobId& id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+/** Takes a new configuration. @param config Configuration. */
+void CellOwner::setConfig(const CellConfig& config)
+{
+    m_config = config;
+    for (const QueueConfig& queue : config.queues)
+        m_queues[queue.id] = queue;
+}
+
+const QueueConfig* CellOwner::queueOf(const CellJob& job) const
+{
+    const auto it = m_queues.find(job.spec.queue);
+    return it == m_queues.end() ? nullptr : &it->second;
+}
+
+ServiceId CellOwner::serviceOf(const CellJob& job) const
+{
+    const QueueConfig* queue = queueOf(job);
+    return queue ? queue->service : job.spec.service;
+}
+
+int CellOwner::priorityOf(const CellJob& job) const
+{
+    const QueueConfig* queue = queueOf(job);
+    return queue ? queue->priority : 0;
+}
+
+/** Why a job can never run on the targets that are known. @return Reason, nothing if it may run. */
+std::optional<std::string> CellOwner::refusalFor(const CellJobSpec& spec) const
+{
+    if (auto problem = jobSpecProblem(spec))
+        return problem;
+    bool known = false;
+    for (const StepSpec& step : spec.steps) {
+        std::uint64_t places = 0;
+        for (const auto& [id, target] : m_targets) {
+            if (!target->listed || target->entry.service != spec.service)
+                continue;
+            known = true;
+            if (mayEverRun(*target, step))
+                places += step.gang ? tasksThatFit({ target.get(), target->entry.capacity, 0 }, step) : step.tasks;
+        }
+        if (known && places < (step.gang ? step.tasks : 1U))
+            return "no target of the service could hold the tasks";
+    }
+    return std::nullopt;
+}
+
+/**
+ * Takes a job. The reply comes once the job is in the store; a repeated submission gets the reply of the first.
+ * @param spec Job.
+ * @param now Present time.
+ * @param reply Called once.
+ */
+void CellOwner::submit(CellJobSpec&& spec, Time now, JobReply reply)
+{
+    m_now = now;
+    if (CellJob* known = find(spec.id)) {
+        if (known->stored) {
+            reply({ JobAnswer::Kind::Ok, {}, "already accepted" });
+            return;
+        }
+        known->onSaved.push_back([reply = std::move(reply)](bool saved) {
+            reply({ saved ? JobAnswer::Kind::Ok : JobAnswer::Kind::Unknown, {}, "stored with an earlier submission" });
+        });
+        return;
+    }
+    if (const auto reason = refusalFor(spec)) {
+        m_refused.add();
+        LogLine(LogLevel::Info, "job_refused").with("job", spec.id).with("queue", spec.queue).with("reason", *reason);
+        reply({ JobAnswer::Kind::Refused, neverRunnableRetry, *reason });
+        return;
+    }
+    auto owned = std::make_unique<CellJob>();
+    CellJob& job = *owned;
+    job.spec = std::move(spec);
+    job.submittedAt = now;
+    job.acceptedAt = m_hooks.calendar();
+    m_jobs.emplace(job.spec.id, std::move(owned));
+    LogLine(LogLevel::Info, "job_taken")
+        .with("job", job.spec.id)
+        .with("queue", job.spec.queue)
+        .with("steps", job.spec.steps.size())
+        .with("config", m_config.version);
+    activate(job, now);
+    runWhenSaved(job, [this, id = job.spec.id, now, reply = std::move(reply)](bool saved) {
+        if (saved) {
+            m_accepted.add();
+            m_saveSeconds.record(m_now - now);
+        }
+        LogLine(LogLevel::Info, "job_stored").with("job", id).with("saved", saved);
+        reply({ saved ? JobAnswer::Kind::Ok : JobAnswer::Kind::Unknown, {}, "the owner changed before it was stored" });
+    });
+    markDirty(job, now, saveSoon);
+    m_dispatchDue = true;
+    wake(now);
+}
+
+/** Makes a job one that is worked on. */
+void CellOwner::activate(CellJob& job, Time now)
+{
+    const QueueConfig* queue = queueOf(job);
+    std::chrono::milliseconds perStep { 0 };
+    if (queue && queue->advisor)
+        perStep = std::chrono::duration_cast<std::chrono::milliseconds>(queue->advisor->callTime(advisedTargets));
+    const auto chain = longestChain(job.spec.steps, perStep);
+    job.objective = std::chrono::milliseconds(static_cast<std::int64_t>(
+                        (queue ? queue->slackFactor : 1.0) * static_cast<double>(chain.count())))
+        + (queue ? queue->targetLatency : std::chrono::milliseconds(0));
+    m_open.push_back(&job);
+    m_openJobs.set(static_cast<std::int64_t>(m_open.size()));
+    if (!job.timed())
+        job.beginOccurrence(0);
+    else
+        beginDue(job, now);
+    for (auto& [number, occurrence] : job.occurrences)
+        openSteps(job, occurrence, now);
+}
+
+/** Begins the occurrences whose time has come. */
+void CellOwner::beginDue(CellJob& job, Time now)
+{
+    const CalendarTime calendar = m_hooks.calendar();
+    for (std::uint32_t number = job.occurrencesEnded; number < job.occurrenceCount(); ++number) {
+        if (job.dueAt(number) > calendar)
+            return;
+        if (job.occurrences.contains(number))
+            continue;
+        LogLine(LogLevel::Info, "occurrence_due").with("job", job.spec.id).with("occurrence", number);
+        openSteps(job, job.beginOccurrence(number), now);
+        m_dispatchDue = true;
+    }
+}
+
+/** Marks the steps whose predecessors are complete as ready. */
+void CellOwner::openSteps(CellJob& job, OccurrenceState& occurrence, Time now)
+{
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        StepState& step = occurrence.steps[i];
+        if (step.readyAt == Time {} && job.stepReady(occurrence, i)) {
+            step.readyAt = now;
+            for (TaskState& task : step.tasks)
+                task.waitingSince = now;
+        }
+    }
+}
+
+/** Ends a job: nothing of it is started any more, and what runs is stopped. */
+void CellOwner::finish(CellJob& job, JobState state, Time now)
+{
+    job.state = state;
+    job.finishedAt = now;
+    std::erase(m_open, &job);
+    m_openJobs.set(static_cast<std::int64_t>(m_open.size()));
+    LogLine(LogLevel::Info, "job_ended")
+        .with("job", job.spec.id)
+        .with("queue", job.spec.queue)
+        .with("state", jobStateName(state))
+        .with("age_ms", toMs(now - job.submittedAt))
+        .with("objective_ms", job.objective.count());
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            auto& tasks = occurrence.steps[s].tasks;
+            for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                CellTarget* target = tasks[i].target;
+                if (!target)
+                    continue;
+                const CellTaskKey key { job.spec.id, number, s, i };
+                const auto it = target->occupants.find(key);
+                if (it == target->occupants.end())
+                    continue;
+                if (it->second.phase == RunPhase::Recording)
+                    target->release(key); // Nothing was ordered yet.
+                else
+                    beginStop(*target, key, it->second, jobStateName(state), now);
+                tasks[i].target = nullptr;
+            }
+        }
+    }
+    runWhenSaved(job, [&job](bool saved) {
+        if (saved)
+            job.shownState = job.state;
+    });
+    job.occurrences.clear();
+    markDirty(job, now, saveSoon);
+}
+
+/**
+ * Cancels a job. The reply comes once the cancellation is in the store.
+ * @param id Job.
+ * @param now Present time.
+ * @param reply Called once.
+ */
+void CellOwner::cancel(const JobId& id, Time now, JobReply reply)
+{
+    m_now = now;
+    CellJob* job = find(id);
+    if (!job) {
+        reply({ JobAnswer::Kind::Gone, {}, "no such job" });
+        return;
+    }
+    if (isFinal(job->state) && !job->dirty && job->onSaved.empty()) {
+        reply({ JobAnswer::Kind::Ok, {}, "already ended" });
+        return;
+    }
+    if (!isFinal(job->state)) {
+        job->cancelRequested = true;
+        finish(*job, JobState::Cancelled, now);
+    }
+    runWhenSaved(*job, [reply = std::move(reply)](bool saved) {
+        reply({ saved ? JobAnswer::Kind::Ok : JobAnswer::Kind::Unknown, {}, "the owner changed before it was stored" });
+    });
+    m_dispatchDue = true;
+    wake(now);
+}
+
+/** State of a job as callers see it. @param id Job. @return State, nothing if there is no such job. */
+std::optional<JobState> CellOwner::state(const JobId& id) const
+{
+    const CellJob* job = find(id);
+    if (!job || !job->stored)
+        return std::nullopt;
+    if (isFinal(job->shownState))
+        return job->shownState;
+    return job->begun ? JobState::Running : JobState::Queued;
+}
+
+/** Jobs of a queue for which no task has started. @param queue Queue. @return Number. */
+std::uint64_t CellOwner::pending(const QueueId& queue) const
+{
+    return static_cast<std::uint64_t>(std::count_if(m_open.begin(), m_open.end(),
+        [&](const CellJob* job) { return job->stored && !job->begun && job->spec.queue == queue; }));
+}
+
+void CellOwner::markDirty(CellJob& job, Time now, std::chrono::milliseconds within)
+{
+    if (!job.dirty) {
+        job.dirty = true;
+        m_dirty.push_back(&job);
+    }
+    m_hooks.flush(now + within);
+}
+
+void CellOwner::runWhenSaved(CellJob& job, std::function<void(bool)>&& effect)
+{
+    job.onSaved.push_back(std::move(effect));
+    if (!job.dirty) {
+        job.dirty = true;
+        m_dirty.push_back(&job);
+    }
+    m_hooks.flush(m_now + saveSoon);
+}
+
+/** Takes the records that wait to be written. @param limit Most writes. @return Writes and what follows them. */
+RecordBatch CellOwner::collect(std::size_t limit)
+{
+    RecordBatch batch;
+    std::size_t taken = 0;
+    for (; taken < m_dirty.size() && batch.writes.size() + writesPerJob <= limit; ++taken) {
+        CellJob& job = *m_dirty[taken];
+        job.dirty = false;
+        const std::string& id = job.spec.id.value;
+        batch.writes.push_back({ StoreWrite::Kind::Put, CellKeys::jobs + id, encodeJobRecord(job), {} });
+        if (!job.specStored) {
+            batch.writes.push_back({ StoreWrite::Kind::Put, CellKeys::specs + id, encodeJobSpec(job.spec), {} });
+            job.specStored = true;
+        } else if (isFinal(job.state) && !job.specRemoved) {
+            batch.writes.push_back({ StoreWrite::Kind::Delete, CellKeys::specs + id, {}, {} });
+            job.specRemoved = true;
+            job.spec.payload.clear();
+            job.spec.payload.shrink_to_fit();
+        }
+        batch.effects.push_back([&job](bool saved) { job.stored |= saved; });
+        for (auto& effect : std::exchange(job.onSaved, {}))
+            batch.effects.push_back(std::move(effect));
+    }
+    m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
+    for (std::size_t i = 0; i < removalsPerBatch && !m_removals.empty() && batch.writes.size() < limit; ++i) {
+        batch.writes.push_back({ StoreWrite::Kind::Delete, std::move(m_removals.back()), {}, {} });
+        m_removals.pop_back();
+    }
+    if (!m_dirty.empty())
+        m_hooks.flush(m_now);
+    return batch;
+}
+
+/** Forgets jobs whose state need not be shown any longer. */
+void CellOwner::forgetOldJobs(Time now)
+{
+    constexpr std::chrono::seconds interval { 5 }; ///< The states kept are few; a scan of all is cheap at this pace.
+    if (now - m_forgotAt < interval)
+        return;
+    m_forgotAt = now;
+    const auto kept = m_bounds.statusKept + m_bounds.statusKept / 4;
+    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+        const CellJob& job = *it->second;
+        if (!isFinal(job.state) || job.dirty || !job.onSaved.empty() || now - job.finishedAt < kept) {
+            ++it;
+            continue;
+        }
+        m_removals.push_back(CellKeys::jobs + job.spec.id.value);
+        if (!job.specRemoved)
+            m_removals.push_back(CellKeys::specs + job.spec.id.value);
+        it = m_jobs.erase(it);
+    }
+}
+
+/** Does what is due. @param now Present time. */
+void CellOwner::tick(Time now)
+{
+    constexpr std::chrono::milliseconds sweepInterval { 20 }; ///< Orders are repeated no finer than this.
+    constexpr std::chrono::milliseconds dispatchInterval { 8 }; ///< Ends of one moment are answered by one decision.
+    constexpr std::chrono::milliseconds idleInterval { 100 }; ///< Tickets, quarantines and due times are looked at.
+    if (!m_active)
+        return;
+    m_now = now;
+    m_wakeAt.reset();
+    if (now - m_sweptAt >= sweepInterval) {
+        m_sweptAt = now;
+        for (auto it = m_targets.begin(); it != m_targets.end();) {
+            sweepTarget(*it->second, now);
+            const CellTarget& target = *it->second;
+            const bool gone = !target.listed && target.occupants.empty() && target.silent() && target.lapsed(now);
+            it = gone ? m_targets.erase(it) : std::next(it);
+        }
+        for (CellJob* job : m_open) {
+            if (job->timed())
+                beginDue(*job, now);
+        }
+        forgetOldJobs(now);
+    }
+    if (m_dispatchDue && now - m_dispatchedAt < dispatchInterval) {
+        wake(m_dispatchedAt + dispatchInterval);
+    } else if (m_dispatchDue || now - m_dispatchedAt >= idleInterval) {
+        m_dispatchDue = false;
+        m_dispatchedAt = now;
+        dispatch(now);
+    }
+    wake(m_open.empty() ? now + idleInterval : now + sweepInterval);
+}
+
+/** Summary for operators. @param now Present time. @return JSON. */
+std::string CellOwner::statusText(Time now) const
+{
+    std::ostringstream out;
+    out << "{\"active\":" << (m_active ? "true" : "false") << ",\"token\":" << m_token << ",\"jobs\":" << m_jobs.size()
+        << ",\"open_jobs\":" << m_open.size() << ",\"targets\":[";
+    const char* separator = "";
+    for (const auto& [id, target] : m_targets) {
+        out << separator << "{\"id\":\"" << id << "\",\"usable\":" << (target->usable(now) ? "true" : "false")
+            << ",\"runs\":" << target->occupants.size() << ",\"used_cores_milli\":" << target->used.coresMilli << "}";
+        separator = ",";
+    }
+    out << "]}";
+    return out.str();
+}
+
+} // namespace sp
--- /dev/null
+++ b/src/cell_owner_targets.cpp
@@ -0,0 +1,644 @@
+#include "cell_owner.h"
+
+#include "log_line.h"
+#include "tail_guard.h"
+
+#include <algorithm>
+
+namespace sp {
+
+namespace {
+
+    constexpr int holdPercent = 60; ///< Share of the longest lease: runs on a silent target are taken for ended sooner.
+    constexpr std::chrono::milliseconds clockMargin { 300 }; ///< Answers in flight and rounding of clock readings.
+    constexpr std::chrono::milliseconds saveLazily { 400 }; ///< For ends that only their target waits for.
+    constexpr std::chrono::milliseconds saveSoon { 4 }; ///< Lets records of one moment share a transaction.
+    constexpr std::chrono::milliseconds lookWait { 1500 }; ///< Renews a lease several times before it runs out.
+    constexpr std::chrono::milliseconds lookPause {
+        120
+    }; ///< Ends of one step come close together; one look takes all.
+    constexpr std::chrono::milliseconds guardedLookWait { 500 }; ///< A tail is a figure of the last half second.
+    constexpr std::chrono::milliseconds lookRetry { 250 }; ///< After a look without an answer; doubles up to a second.
+    constexpr std::chrono::milliseconds longestLookRetry { 1000 };
+    constexpr std::chrono::milliseconds orderRetry { 100 }; ///< After an order without an answer, times the tries.
+    constexpr int startTries = 3; ///< Then the run is stopped, so that the task can go elsewhere.
+    constexpr std::chrono::milliseconds noRoomPause { 300 }; ///< The target knows of load that is not ours.
+    constexpr std::chrono::milliseconds unhealthyPause { 1000 }; ///< Unhealthy targets seldom recover faster.
+    constexpr std::chrono::milliseconds unreachablePause { 500 };
+    constexpr std::chrono::milliseconds stallTime { 3000 }; ///< A sound task gains a percent well within this time.
+
+} // namespace
+
+std::chrono::milliseconds CellOwner::holdTime() const { return m_bounds.maxHold * holdPercent / 100; }
+
+CellTarget* CellOwner::findTarget(const TargetId& id)
+{
+    const auto it = m_targets.find(id);
+    return it == m_targets.end() ? nullptr : it->second.get();
+}
+
+CellTarget& CellOwner::targetFor(const TargetId& id)
+{
+    auto& target = m_targets[id];
+    if (!target) {
+        target = std::make_unique<CellTarget>();
+        target->entry.id = id;
+        // A former owner may have left runs there; until its leases have lapsed they may be alive.
+        target->lapsesBy = m_begunAt + m_bounds.sessionTtl
+            + std::chrono::milliseconds(
+                static_cast<std::int64_t>(static_cast<double>(holdTime().count()) / CellTarget::slowestClock))
+            + clockMargin;
+    }
+    return *target;
+}
+
+/**
+ * Takes in the list of targets that are registered.
+ * @param entries All entries that could be read.
+ * @param settled Entries that lapsed in an outage of the store had time to come back; a missing one is gone.
+ * @param now Present time.
+ */
+void CellOwner::targetsListed(const std::vector<TargetEntry>& entries, bool settled, Time now)
+{
+    if (!m_active)
+        return;
+    m_now = now;
+    std::set<TargetId> listed;
+    for (const TargetEntry& entry : entries) {
+        listed.insert(entry.id);
+        CellTarget& target = targetFor(entry.id);
+        if (!target.listed)
+            LogLine(LogLevel::Info, "target_listed")
+                .with("target", entry.id)
+                .with("machine", entry.machine)
+                .with("draining", entry.draining);
+        if (entry.draining && !target.entry.draining) {
+            target.drainingSince = now;
+            LogLine(LogLevel::Info, "target_draining").with("target", entry.id);
+        }
+        if (target.entry.bornMs != 0 && entry.bornMs > target.entry.bornMs)
+            dropLife(target, "started again", now);
+        target.entry = entry;
+        target.listed = true;
+        for (auto& [id, other] : m_targets) {
+            if (id != entry.id && !entry.machine.empty() && other->entry.machine == entry.machine
+                && other->entry.bornMs < entry.bornMs)
+                dropLife(*other, "its machine runs another life", now);
+        }
+    }
+    for (auto& [id, target] : m_targets) {
+        if (settled && target->listed && !listed.contains(id)) {
+            target->listed = false;
+            target->missingSince = now;
+            LogLine(LogLevel::Warning, "target_missing").with("target", id).with("runs", target->occupants.size());
+        }
+    }
+    m_dispatchDue = true;
+    wake(now);
+}
+
+/** A life of a target is certainly over: all that ran there has ended. */
+void CellOwner::dropLife(CellTarget& target, const char* reason, Time now)
+{
+    std::vector<CellTaskKey> lost;
+    for (const auto& [key, occupant] : target.occupants) {
+        if (occupant.phase != RunPhase::Recording && !(occupant.phase == RunPhase::Ordered && occupant.orderOpen))
+            lost.push_back(key);
+    }
+    for (const CellTaskKey& key : lost)
+        runGone(target, key, reason, now);
+    target.reported = false;
+    target.reportedBornMs = 0;
+    target.endsSeen = 0;
+    target.endsAcknowledged = 0;
+    target.endsUnsaved.clear();
+    target.clockSeenAt = {};
+    target.clock = {};
+    target.leaseSent = {};
+    target.badEnds = 0;
+    target.quarantinedUntil = {};
+    target.nextLookAt = now;
+}
+
+/** A run has certainly ended without an end that counts, or was never begun. */
+void CellOwner::runGone(CellTarget& target, const CellTaskKey& key, const char* reason, Time now)
+{
+    const auto it = target.occupants.find(key);
+    if (it == target.occupants.end())
+        return;
+    const std::uint32_t run = it->second.run;
+    LogLine(LogLevel::Info, "run_gone")
+        .with("task", taskText(key))
+        .with("run", run)
+        .with("target", target.id())
+        .with("reason", reason);
+    target.release(key);
+    requeueIfAlive(key, run, now);
+}
+
+/** A start was refused and its run was never begun. */
+void CellOwner::startRefused(CellTarget& target, const CellTaskKey& key, const char* reason, Time now)
+{
+    const std::uint32_t run = target.occupants.at(key).run;
+    runGone(target, key, reason, now);
+    CellJob* job = find(key.job);
+    TaskState* task = job && !isFinal(job->state) ? job->task(key) : nullptr;
+    // The other members of a gang are waiting under this number; it is used again.
+    if (task && task->waiting() && task->run == run && job->spec.steps[key.step].gang)
+        --task->run;
+}
+
+void CellOwner::requeueIfAlive(const CellTaskKey& key, std::uint32_t run, Time now)
+{
+    CellJob* job = find(key.job);
+    TaskState* task = job && !isFinal(job->state) ? job->task(key) : nullptr;
+    if (task && !task->done && task->run == run)
+        requeue(*job, key, now);
+    m_dispatchDue = true;
+    wake(now);
+}
+
+void CellOwner::unanswered(CellTarget& target, Time /*now*/)
+{
+    if (++target.unanswered == CellTarget::silentAfterCalls)
+        LogLine(LogLevel::Warning, "target_silent").with("target", target.id()).with("runs", target.occupants.size());
+}
+
+void CellOwner::lookSoon(CellTarget& target, Time at) { target.nextLookAt = std::min(target.nextLookAt, at); }
+
+void CellOwner::look(CellTarget& target, Time now)
+{
+    LookOrder order;
+    order.token = m_token;
+    order.endsAcknowledged = target.endsSaved();
+    if (target.clockSeenAt != Time {}) {
+        order.leaseUntil = target.clockAtLeast(now) + holdTime();
+        target.leaseSent = std::max(target.leaseSent, *order.leaseUntil);
+    }
+    const bool serving = std::any_of(
+        target.occupants.begin(), target.occupants.end(), [](const auto& entry) { return entry.second.serves; });
+    const bool filled = std::any_of(
+        target.occupants.begin(), target.occupants.end(), [](const auto& entry) { return entry.second.fills; });
+    if (target.reported && !target.occupants.empty() && !target.silent())
+        order.wait = std::min(serving && filled ? guardedLookWait : lookWait, m_bounds.maxWait);
+    target.lookOpen = true;
+    target.lookSentAt = now;
+    m_looks.add();
+    m_hooks.look(target, order);
+}
+
+/** Sends the orders to one target that are due. */
+void CellOwner::sweepTarget(CellTarget& target, Time now)
+{
+    if (target.heardAt != Time {} && target.lapsed(now) && target.silent()) {
+        std::vector<CellTaskKey> lapsed;
+        for (const auto& [key, occupant] : target.occupants) {
+            if (occupant.phase != RunPhase::Recording)
+                lapsed.push_back(key);
+        }
+        for (const CellTaskKey& key : lapsed)
+            runGone(target, key, "lease lapsed", now);
+        target.reported = target.reported && lapsed.empty();
+    }
+    // A target that never answered: what a former owner left there.
+    if (target.heardAt == Time {} && now >= target.lapsesBy && !target.occupants.empty()) {
+        while (!target.occupants.empty())
+            runGone(target, target.occupants.begin()->first, "lease of a former owner lapsed", now);
+    }
+    if (!m_mayOrder || target.entry.address.empty())
+        return;
+    for (auto& [key, occupant] : target.occupants) {
+        if (occupant.orderOpen || now < occupant.retryAt)
+            continue;
+        if (occupant.phase == RunPhase::Ordered && occupant.confirmedAt == Time {})
+            orderStart(target, key, occupant, now);
+        else if (occupant.phase == RunPhase::Stopping && occupant.confirmedAt == Time {})
+            orderStop(target, key, occupant, now);
+    }
+    const bool ends = target.endsSaved() > target.endsAcknowledged;
+    if (!target.lookOpen && now >= target.nextLookAt && (!target.reported || !target.occupants.empty() || ends))
+        look(target, now);
+}
+
+/** Sends a start order, again under the same run number if an earlier one had no answer. */
+void CellOwner::orderStart(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now)
+{
+    CellJob* job = find(key.job);
+    TaskState* task = job ? job->task(key) : nullptr;
+    const StepState* step = job ? job->step(key.stepKey()) : nullptr;
+    if (!task || isFinal(job->state) || occupant.tries >= startTries) {
+        beginStop(target, key, occupant, task && !isFinal(job->state) ? "start not answered" : "job ended", now);
+        return;
+    }
+    StartOrder order { key, occupant.run, job->spec.payload, task->checkpoint, {}, {}, m_token };
+    if (const auto it = step->advice.allowed.find(target.id()); it != step->advice.allowed.end())
+        order.ticket = it->second.ticket;
+    order.leaseUntil = target.clockAtLeast(now) + holdTime();
+    target.leaseSent = std::max(target.leaseSent, order.leaseUntil);
+    ++occupant.tries;
+    occupant.orderOpen = true;
+    m_starts.add();
+    m_hooks.start(target, order);
+}
+
+/** Begins to stop a run; its capacity is free once its end is listed. */
+void CellOwner::beginStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, const char* reason, Time now)
+{
+    if (occupant.phase == RunPhase::Stopping)
+        return;
+    LogLine(LogLevel::Info, "run_stopping")
+        .with("task", taskText(key))
+        .with("run", occupant.run)
+        .with("target", target.id())
+        .with("reason", reason);
+    m_stops.add();
+    occupant.phase = RunPhase::Stopping;
+    occupant.since = now;
+    occupant.confirmedAt = {};
+    occupant.tries = 0;
+    occupant.retryAt = now;
+    occupant.stopReason = reason;
+    if (m_mayOrder && !target.entry.address.empty() && !occupant.orderOpen)
+        orderStop(target, key, occupant, now);
+}
+
+void CellOwner::orderStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time /*now*/)
+{
+    ++occupant.tries;
+    occupant.orderOpen = true;
+    m_hooks.stop(target, key, occupant.run, m_token);
+}
+
+/** Takes the answer to a start order. */
+void CellOwner::onStarted(
+    const TargetId& id, const CellTaskKey& key, std::uint32_t run, const OrderAnswer& answer, Time now)
+{
+    m_now = now;
+    CellTarget* target = m_active ? findTarget(id) : nullptr;
+    if (!target)
+        return;
+    if (answer.clock)
+        target->sawClock(*answer.clock, now);
+    const auto it = target->occupants.find(key);
+    if (it == target->occupants.end() || it->second.run != run)
+        return;
+    Occupant& occupant = it->second;
+    occupant.orderOpen = false;
+    LogLine(answer.result == OrderResult::Done ? LogLevel::Info : LogLevel::Warning, "start_answered")
+        .with("task", taskText(key))
+        .with("run", run)
+        .with("target", id)
+        .with("result", orderResultName(answer.result))
+        .with("try", occupant.tries);
+    if (answer.result == OrderResult::Fenced) {
+        m_hooks.superseded("target " + id.value + " has seen a higher token");
+        return;
+    }
+    if (answer.result == OrderResult::Lost || answer.result == OrderResult::NotSent)
+        unanswered(*target, now);
+    if (occupant.phase != RunPhase::Ordered) {
+        // A stop was decided meanwhile; it is ordered now that the start is answered.
+        occupant.retryAt = now;
+        return;
+    }
+    CellJob* job = find(key.job);
+    switch (answer.result) {
+    case OrderResult::Done:
+        occupant.phase = RunPhase::Running;
+        occupant.confirmedAt = now;
+        occupant.progressAt = now;
+        occupant.unsure = false;
+        if (job && !job->begun) {
+            job->begun = true;
+            job->state = JobState::Running;
+        }
+        if (target->occupants.size() == 1)
+            target->nextLookAt = now + lookPause;
+        lookSoon(*target, now + lookWait);
+        return;
+    case OrderResult::Outdated:
+        // The run has ended there; the next report tells how.
+        occupant.confirmedAt = now;
+        lookSoon(*target, now);
+        return;
+    case OrderResult::LeasePast:
+        occupant.retryAt = now;
+        return;
+    case OrderResult::Lost:
+        m_startsUnanswered.add();
+        occupant.unsure = true;
+        occupant.retryAt = now + orderRetry * occupant.tries;
+        lookSoon(*target, now);
+        return;
+    case OrderResult::NoRoom:
+        target->refusedUntil = now + noRoomPause;
+        break;
+    case OrderResult::Unhealthy:
+        target->refusedUntil = now + unhealthyPause;
+        break;
+    case OrderResult::NotSent:
+    case OrderResult::OtherLife:
+        target->refusedUntil = now + unreachablePause;
+        break;
+    case OrderResult::BadTicket:
+        if (StepState* step = job ? job->step(key.stepKey()) : nullptr)
+            step->advice.allowed.erase(id);
+        break;
+    case OrderResult::Rejected:
+        if (TaskState* task = job ? job->task(key) : nullptr)
+            task->avoid.insert(id);
+        break;
+    case OrderResult::Fenced:
+        return;
+    }
+    if (occupant.unsure && answer.result != OrderResult::OtherLife) {
+        // An earlier order of this run may still be carried out; only a stop rules that out.
+        beginStop(*target, key, occupant, orderResultName(answer.result), now);
+        return;
+    }
+    startRefused(*target, key, orderResultName(answer.result), now);
+}
+
+/** Takes the answer to a stop order. */
+void CellOwner::onStopped(
+    const TargetId& id, const CellTaskKey& key, std::uint32_t run, const OrderAnswer& answer, Time now)
+{
+    m_now = now;
+    CellTarget* target = m_active ? findTarget(id) : nullptr;
+    if (!target)
+        return;
+    if (answer.clock)
+        target->sawClock(*answer.clock, now);
+    if (answer.result == OrderResult::Fenced) {
+        m_hooks.superseded("target " + id.value + " has seen a higher token");
+        return;
+    }
+    const auto it = target->occupants.find(key);
+    if (it == target->occupants.end() || it->second.run != run)
+        return;
+    Occupant& occupant = it->second;
+    occupant.orderOpen = false;
+    if (answer.result == OrderResult::Lost || answer.result == OrderResult::NotSent) {
+        unanswered(*target, now);
+        occupant.retryAt = now + orderRetry * std::min(occupant.tries, 10);
+        return;
+    }
+    if (answer.result == OrderResult::Unhealthy) {
+        occupant.retryAt = now + orderRetry * std::min(occupant.tries, 10);
+        return;
+    }
+    if (answer.result == OrderResult::OtherLife) {
+        runGone(*target, key, "the target has started again", now);
+        return;
+    }
+    // Carried out, or the run had already ended: a later start of it is refused. The next report shows its end.
+    occupant.confirmedAt = now;
+    lookSoon(*target, now);
+}
+
+/** Takes the answer to a change of pace. */
+void CellOwner::onPaced(
+    const TargetId& id, const CellTaskKey& key, std::uint32_t run, int percent, const OrderAnswer& answer, Time now)
+{
+    m_now = now;
+    CellTarget* target = m_active ? findTarget(id) : nullptr;
+    if (!target)
+        return;
+    if (answer.clock)
+        target->sawClock(*answer.clock, now);
+    if (answer.result == OrderResult::Fenced) {
+        m_hooks.superseded("target " + id.value + " has seen a higher token");
+        return;
+    }
+    const auto it = target->occupants.find(key);
+    if (it == target->occupants.end() || it->second.run != run)
+        return;
+    it->second.paceOpen = false;
+    it->second.paceAt = now;
+    // Without an answer the slower of the two is assumed to be in force, so that it is ordered again.
+    if (answer.result == OrderResult::Done)
+        it->second.pace = percent;
+}
+
+/** Takes a target's report, or the lack of one. */
+void CellOwner::onReport(
+    const TargetId& id, const LookOrder& order, const OrderAnswer& answer, const RunReport& report, Time now)
+{
+    m_now = now;
+    CellTarget* target = m_active ? findTarget(id) : nullptr;
+    if (!target || order.token != m_token)
+        return;
+    target->lookOpen = false;
+    if (answer.result == OrderResult::Fenced) {
+        m_hooks.superseded("target " + id.value + " has seen a higher token");
+        return;
+    }
+    if (answer.result != OrderResult::Done) {
+        unanswered(*target, now);
+        target->nextLookAt = now + std::min(longestLookRetry, lookRetry * target->unanswered);
+        return;
+    }
+    const Time sentAt = target->lookSentAt;
+    if (target->reportedBornMs != 0 && report.bornMs != 0 && report.bornMs != target->reportedBornMs) {
+        LogLine(LogLevel::Warning, "target_restarted").with("target", id).with("runs", target->occupants.size());
+        dropLife(*target, "the target has started again", now);
+    }
+    if (target->silent())
+        LogLine(LogLevel::Info, "target_back").with("target", id);
+    target->sawClock(report.clock, now);
+    target->reportedBornMs = report.bornMs;
+    target->endsAcknowledged = std::max(target->endsAcknowledged, order.endsAcknowledged);
+    if (!target->reported) {
+        target->reported = true;
+        m_dispatchDue = true;
+        LogLine(LogLevel::Info, "target_reported")
+            .with("target", id)
+            .with("token", m_token)
+            .with("running", report.running.size())
+            .with("ends", report.ended.size());
+    }
+    takeEnds(*target, report, now);
+    takeRuns(*target, report, sentAt, now);
+    checkStall(*target, now);
+    guardTails(*target, now);
+    target->nextLookAt = now + (report.ended.empty() ? std::chrono::milliseconds(0) : lookPause);
+    wake(now);
+}
+
+void CellOwner::takeEnds(CellTarget& target, const RunReport& report, Time now)
+{
+    for (const EndRow& end : report.ended) {
+        if (end.number <= target.endsSeen)
+            continue;
+        target.endsSeen = end.number;
+        takeEnd(target, end, now);
+    }
+}
+
+/** Takes one end. It is acknowledged once the job's record that counts it is in the store. */
+void CellOwner::takeEnd(CellTarget& target, const EndRow& end, Time now)
+{
+    m_ends.add();
+    const auto it = target.occupants.find(end.task);
+    const bool known = it != target.occupants.end() && it->second.run == end.run;
+    LogLine(LogLevel::Info, "run_ended")
+        .with("task", taskText(end.task))
+        .with("run", end.run)
+        .with("target", target.id())
+        .with("how", endKindName(end.kind))
+        .with("number", end.number);
+    std::string stopReason;
+    if (known) {
+        stopReason = it->second.stopReason;
+        if (const Occupant& occupant = it->second; end.kind == EndKind::Done && occupant.estimate.count() > 0
+            && occupant.phase == RunPhase::Running && !occupant.fills && !occupant.checkpointing) {
+            const double ratio = std::chrono::duration<double>(now - occupant.since).count()
+                / std::chrono::duration<double>(occupant.estimate).count();
+            constexpr double weight
+                = 0.1; ///< Estimates of single tasks are rough; some ten of them tell a slow target.
+            target.slowness += weight * (std::clamp(ratio, 0.25, 4.0) - target.slowness);
+        }
+        target.release(end.task);
+    }
+    m_dispatchDue = true;
+    CellJob* job = find(end.task.job);
+    TaskState* task = job && !isFinal(job->state) ? job->task(end.task) : nullptr;
+    if (!task || task->done || task->run != end.run)
+        return; // Nothing depends on this end any more.
+    target.endsUnsaved.insert(end.number);
+    runWhenSaved(*job, [this, id = target.id(), born = target.reportedBornMs, number = end.number](bool saved) {
+        CellTarget* found = saved ? findTarget(id) : nullptr;
+        if (!found || found->reportedBornMs != born)
+            return;
+        found->endsUnsaved.erase(number);
+        if (found->endsUnsaved.empty())
+            lookSoon(*found, m_now + lookPause);
+    });
+    markDirty(*job, now, saveLazily);
+    if (!end.checkpoint.empty())
+        task->checkpoint = end.checkpoint;
+    switch (end.kind) {
+    case EndKind::Done:
+        target.runDone();
+        taskDone(*job, end.task, now);
+        return;
+    case EndKind::Failed:
+        target.runBad(now);
+        taskFailed(*job, end.task, target, now);
+        return;
+    case EndKind::Stopped:
+        if (stopReason == "stalled")
+            target.runBad(now);
+        break;
+    case EndKind::Lapsed:
+    case EndKind::Broken:
+    case EndKind::Alone:
+        break;
+    }
+    requeue(*job, end.task, now);
+}
+
+/** Compares the runs that a target reports with those that are expected there. */
+void CellOwner::takeRuns(CellTarget& target, const RunReport& report, Time sentAt, Time now)
+{
+    std::set<CellTaskKey> seen;
+    for (const RunRow& row : report.running) {
+        const auto it = target.occupants.find(row.task);
+        if (it == target.occupants.end() || it->second.run != row.run) {
+            stopForeign(target, row, now);
+            continue;
+        }
+        seen.insert(row.task);
+        Occupant& occupant = it->second;
+        if (occupant.phase == RunPhase::Ordered || occupant.phase == RunPhase::Recovered) {
+            occupant.phase = RunPhase::Running;
+            occupant.unsure = false;
+            occupant.progressAt = now;
+            if (CellJob* job = find(row.task.job); job && !job->begun) {
+                job->begun = true;
+                job->state = JobState::Running;
+            }
+        }
+        if (occupant.confirmedAt == Time {} && occupant.phase == RunPhase::Running)
+            occupant.confirmedAt = now;
+        if (row.percent > occupant.percent || occupant.pace < 100)
+            occupant.progressAt = now;
+        occupant.percent = row.percent;
+        occupant.gauge = row.gauge;
+        if (CellJob* job = row.checkpoint.empty() ? nullptr : find(row.task.job)) {
+            if (TaskState* task = job->task(row.task))
+                task->checkpoint = row.checkpoint;
+        }
+    }
+    if (report.endsCut)
+        return;
+    std::vector<CellTaskKey> vanished;
+    for (const auto& [key, occupant] : target.occupants) {
+        const bool confirmedBefore = occupant.confirmedAt != Time {} && occupant.confirmedAt < sentAt;
+        if (!seen.contains(key) && (confirmedBefore || occupant.phase == RunPhase::Recovered))
+            vanished.push_back(key);
+    }
+    for (const CellTaskKey& key : vanished)
+        runGone(target, key, "not there", now);
+}
+
+/** Stops a run that no record asks for, such as one of a job that was cancelled under a former owner. */
+void CellOwner::stopForeign(CellTarget& target, const RunRow& row, Time now)
+{
+    if (target.occupants.contains(row.task)) {
+        m_hooks.stop(target, row.task, row.run, m_token);
+        return;
+    }
+    Occupant occupant;
+    occupant.run = row.run;
+    occupant.phase = RunPhase::Running;
+    if (const CellJob* job = find(row.task.job); job && row.task.step < job->spec.steps.size())
+        occupant.taken = job->spec.steps[row.task.step].reserved();
+    target.occupy(row.task, occupant);
+    beginStop(target, row.task, target.occupants.at(row.task), "not asked for", now);
+}
+
+/** Stops runs that have stood still for too long, so that their tasks go elsewhere. */
+void CellOwner::checkStall(CellTarget& target, Time now)
+{
+    std::vector<CellTaskKey> stalled;
+    for (const auto& [key, occupant] : target.occupants) {
+        const bool exempt = occupant.fills || (occupant.lasting && occupant.percent >= 100);
+        if (occupant.phase == RunPhase::Running && !exempt && now - occupant.progressAt > stallTime)
+            stalled.push_back(key);
+    }
+    for (const CellTaskKey& key : stalled) {
+        CellJob* job = find(key.job);
+        const bool gang = job && key.step < job->spec.steps.size() && job->spec.steps[key.step].gang;
+        if (TaskState* task = job && !gang ? job->task(key) : nullptr) {
+            task->avoid.insert(target.id());
+            beginStop(target, key, target.occupants.at(key), "stalled", now);
+        }
+    }
+}
+
+/** Slows down tasks that fill where they harm tasks that serve. */
+void CellOwner::guardTails(CellTarget& target, Time now)
+{
+    std::vector<TailReading> tails;
+    for (const auto& [key, occupant] : target.occupants) {
+        if (!occupant.serves || occupant.phase != RunPhase::Running)
+            continue;
+        if (const CellJob* job = find(key.job); job && key.step < job->spec.steps.size())
+            tails.push_back({ std::chrono::milliseconds(occupant.gauge), job->spec.steps[key.step].tailTarget });
+    }
+    if (tails.empty())
+        return;
+    for (const PaceChange& change : decidePaces(target, tails, m_bounds.impact, now)) {
+        Occupant& occupant = target.occupants.at(change.task);
+        occupant.paceOpen = true;
+        LogLine(LogLevel::Info, "pace")
+            .with("task", taskText(change.task))
+            .with("target", target.id())
+            .with("percent", change.percent)
+            .with("before", occupant.pace);
+        m_hooks.pace(target, change.task, change.run, change.percent, m_token);
+    }
+}
+
+} // namespace sp
--- /dev/null
+++ b/src/cell_recovery.cpp
@@ -0,0 +1,88 @@
+#include "cell_owner.h"
+
+#include "log_line.h"
+
+namespace sp {
+
+/**
+ * Takes over the cell.
+ * @param token Fencing token of this ownership; higher than any before.
+ * @param records Records of the store, read after the ownership was won.
+ * @param now Present time.
+ */
+void CellOwner::begin(FencingToken token, const CellRecords& records, Time now)
+{
+    m_active = true;
+    m_mayOrder = true;
+    m_token = token;
+    m_begunAt = now;
+    m_now = now;
+    std::unordered_map<JobId, CellJobSpec> specs;
+    for (const StoreKeyValue& item : records.specs) {
+        if (auto spec = decodeJobSpec(item.value))
+            specs.emplace(spec->id, std::move(*spec));
+        else
+            LogLine(LogLevel::Error, "job_spec_unreadable").with("key", item.key).with("bytes", item.value.size());
+    }
+    const CalendarTime calendar = m_hooks.calendar();
+    std::size_t unsure = 0;
+    for (const StoreKeyValue& item : records.jobs) {
+        auto owned = std::make_unique<CellJob>();
+        CellJob& job = *owned;
+        const JobId id(item.key.substr(std::string_view(CellKeys::jobs).size()));
+        if (const auto spec = specs.find(id); spec != specs.end()) {
+            job.spec = std::move(spec->second);
+            job.specStored = true;
+        }
+        if (!decodeJobRecord(item.value, job)) {
+            LogLine(LogLevel::Error, "job_record_unreadable").with("key", item.key).with("bytes", item.value.size());
+            continue;
+        }
+        job.specRemoved = !job.specStored;
+        job.specStored = true;
+        const auto age = std::max(std::chrono::milliseconds(0), calendar - job.acceptedAt);
+        job.submittedAt = now - age;
+        job.finishedAt = now;
+        m_jobs.emplace(id, std::move(owned));
+        if (isFinal(job.state))
+            continue;
+        for (auto& [number, occurrence] : job.occurrences) {
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+                auto& tasks = occurrence.steps[s].tasks;
+                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                    TaskState& task = tasks[i];
+                    job.begun |= task.run > 0;
+                    if (task.done || task.recordedTarget.empty())
+                        continue;
+                    // It may be running there; the target's report or the end of its lease will tell.
+                    const StepSpec& spec = job.spec.steps[s];
+                    CellTarget& target = targetFor(task.recordedTarget);
+                    task.target = &target;
+                    Occupant occupant;
+                    occupant.run = task.run;
+                    occupant.phase = RunPhase::Recovered;
+                    occupant.taken = spec.reserved();
+                    occupant.priority = priorityOf(job);
+                    occupant.checkpointing = spec.checkpointing;
+                    occupant.fills = spec.fills;
+                    occupant.serves = spec.tailTarget.count() > 0;
+                    occupant.lasting = spec.lasting;
+                    occupant.estimate = spec.estimate;
+                    occupant.since = now;
+                    target.occupy({ id, number, s, i }, occupant);
+                    ++unsure;
+                }
+            }
+        }
+        activate(job, now);
+    }
+    LogLine(LogLevel::Info, "owner_began")
+        .with("token", token)
+        .with("jobs", m_jobs.size())
+        .with("open_jobs", m_open.size())
+        .with("runs_to_confirm", unsure);
+    m_dispatchDue = true;
+    wake(now);
+}
+
+} // namespace sp
--- /dev/null
+++ b/src/entry_node.cpp
@@ -0,0 +1,637 @@
+#include "entry_node.h"
+
+#include "log_line.h"
+#include "proto/cell.pb.h"
+
+#include <algorithm>
+
+namespace sp {
+
+namespace {
+
+    constexpr std::chrono::milliseconds listInterval { 700 }; ///< A leaving target is noticed well within its notice.
+    constexpr std::chrono::milliseconds recordTimeout { 1000 }; ///< A slow store answers within a quarter of a second.
+    constexpr std::chrono::milliseconds peerTimeout { 1200 }; ///< One transaction of a slow store, and the way.
+    constexpr std::chrono::milliseconds peerRetry { 60 }; ///< Knowledge of a new owner spreads within a round trip.
+    constexpr std::chrono::milliseconds answerMargin { 150 }; ///< The answer has to reach the caller in time.
+    constexpr std::chrono::milliseconds ownerPatience { 1000 }; ///< A submission waits this long for an owner.
+    constexpr std::chrono::milliseconds retryAfterNoOwner { 1000 }; ///< A take-over takes one to three seconds.
+    constexpr std::chrono::milliseconds pingInterval { 700 };
+    constexpr std::chrono::milliseconds pingTimeout { 600 };
+    constexpr std::chrono::milliseconds isolatedFor { 2200 }; ///< Three pings of all peers without an answer.
+    constexpr std::chrono::milliseconds abstainTime { 5000 }; ///< Cuts of single hosts last some seconds.
+    constexpr std::chrono::milliseconds lateLoop { 150 }; ///< A loop this late can't keep deadlines of a second.
+    constexpr std::chrono::milliseconds lateFor { 1500 }; ///< Lateness of this duration is no single long task.
+    constexpr std::chrono::milliseconds adviceSlack { 700 }; ///< Wait behind another call, and the way.
+    constexpr const char* callPath = "/cell/call";
+    constexpr const char* advicePath = "/cell/advice";
+    constexpr const char* pingPath = "/cell/ping";
+
+    std::chrono::milliseconds ceilMs(std::chrono::microseconds time)
+    {
+        return std::chrono::ceil<std::chrono::milliseconds>(time);
+    }
+
+} // namespace
+
+/** A caller's request until its answer. */
+struct EntryNode::Pending {
+    CallerRequest request;
+    CallerReply reply;
+    int tries = 0;
+    bool unsure = false; ///< An earlier try may have been carried out.
+    bool finished = false;
+    Time deadline() const { return request.receivedAt + request.patience - answerMargin; }
+};
+
+/** @param config What the host is. @param metrics Registry. @param hooks Surroundings. */
+EntryNode::EntryNode(EntryNodeConfig config, Metrics& metrics, EntryNodeHooks hooks)
+    : m_settings(std::move(config))
+    , m_hooks(std::move(hooks))
+    , m_metrics(metrics)
+    , m_log(m_settings.session.ownPrefix + "owner", CellKeys::sequence, logHooks())
+    , m_owner(m_settings.bounds, metrics, ownerHooks())
+    , m_session(m_settings.session, sessionHooks())
+    , m_broker([this](const HostId& host, const AdviceQuestion& question, std::uint64_t ticket) {
+        sendAdvice(host, question, ticket);
+    })
+    , m_forwarded(metrics.counter("sp_entry_forwarded_total", "Requests passed to the owner of the cell."))
+    , m_uncertain(metrics.counter("sp_entry_uncertain_total", "Requests answered without knowing their outcome."))
+    , m_requestSeconds(metrics.histogram("sp_entry_request_seconds", "Time from a caller's request to its answer."))
+{
+}
+
+CellOwnerHooks EntryNode::ownerHooks()
+{
+    CellOwnerHooks hooks;
+    hooks.start = [this](const CellTarget& target, const StartOrder& order) {
+        m_hooks.start(target, order, [this, id = target.id(), key = order.task, run = order.run](const OrderAnswer& a) {
+            m_owner.onStarted(id, key, run, a, m_hooks.clock());
+        });
+    };
+    hooks.stop = [this](const CellTarget& target, const CellTaskKey& key, std::uint32_t run, FencingToken token) {
+        m_hooks.stop(target, key, run, token, [this, id = target.id(), key, run](const OrderAnswer& answer) {
+            m_owner.onStopped(id, key, run, answer, m_hooks.clock());
+        });
+    };
+    hooks.pace
+        = [this](const CellTarget& target, const CellTaskKey& key, std::uint32_t run, int percent, FencingToken token) {
+              m_hooks.pace(
+                  target, key, run, percent, token, [this, id = target.id(), key, run, percent](const OrderAnswer& a) {
+                      m_owner.onPaced(id, key, run, percent, a, m_hooks.clock());
+                  });
+          };
+    hooks.look = [this](const CellTarget& target, const LookOrder& order) {
+        m_hooks.look(
+            target, order, [this, id = target.id(), order](const OrderAnswer& answer, const RunReport& report) {
+                m_owner.onReport(id, order, answer, report, m_hooks.clock());
+            });
+    };
+    hooks.ask = [this](const AdviceQuestion& question) { m_broker.ask(question, m_hooks.clock()); };
+    hooks.flush = [this](Time at) { m_log.requestFlush(at); };
+    hooks.superseded = [this](const std::string& reason) { m_session.resign(reason, m_hooks.clock()); };
+    hooks.calendar = [this] { return m_hooks.calendar(); };
+    return hooks;
+}
+
+CellSessionHooks EntryNode::sessionHooks()
+{
+    CellSessionHooks hooks;
+    hooks.call = [this](StoreRequest&& request, std::chrono::milliseconds timeout, CellSessionHooks::Reply reply) {
+        m_hooks.storeCall(std::move(request), timeout, std::move(reply));
+    };
+    hooks.watch = [this](StoreWatch&& watch, std::function<void(StoreWatchReply &&)> reply) {
+        m_hooks.storeWatch(std::move(watch), std::move(reply));
+    };
+    hooks.operatorChanged
+        = [this](const std::string& key, const std::optional<StoreKeyValue>& item) { operatorChanged(key, item); };
+    hooks.won = [this](Revision token) { won(token); };
+    hooks.lost = [this](const std::string& reason) { lost(reason); };
+    hooks.clock = [this] { return m_hooks.clock(); };
+    return hooks;
+}
+
+RecordLogHooks EntryNode::logHooks()
+{
+    RecordLogHooks hooks;
+    hooks.commit = [this](StoreTxn&& txn) {
+        m_hooks.storeCall(StoreRequest(std::move(txn)), recordTimeout, [this, round = m_round](StoreReply&& reply) {
+            if (round == m_round)
+                m_log.answered(reply, m_hooks.clock());
+        });
+    };
+    hooks.collect = [this](std::size_t limit) { return m_owner.collect(limit); };
+    hooks.ownershipLost = [this](const std::string& reason) { m_session.resign(reason, m_hooks.clock()); };
+    return hooks;
+}
+
+void EntryNode::operatorChanged(const std::string& key, const std::optional<StoreKeyValue>& item)
+{
+    if (key != m_settings.configKey || !item)
+        return;
+    auto config = m_hooks.decodeConfig(item->value);
+    if (!config || (m_config && config->version <= m_config->version))
+        return; // The decoder has logged what it could not read.
+    LogLine(LogLevel::Info, "config_applied")
+        .with("version", config->version)
+        .with("before", m_config ? m_config->version : 0)
+        .with("queues", config->queues.size())
+        .with("revision", item->modRevision);
+    m_config = std::move(config);
+    m_owner.setConfig(*m_config);
+}
+
+/** The cell was won: everything is read before anything is decided. */
+void EntryNode::won(Revision token)
+{
+    ++m_round;
+    m_wonAt = m_hooks.clock();
+    m_records = {};
+    m_firstTargets.reset();
+    m_reads = 2;
+    LogLine(LogLevel::Info, "take_over_began").with("token", token);
+    readRecords(CellKeys::jobs, {}, m_round);
+    readRecords(CellKeys::specs, {}, m_round);
+    m_listAt = m_wonAt;
+    m_listOpen = false;
+    listTargets(m_wonAt);
+}
+
+void EntryNode::lost(const std::string& reason)
+{
+    ++m_round;
+    m_log.end(); // Before the owner, whose jobs its effects refer to.
+    m_owner.end(reason);
+    m_broker.clear();
+    m_questions.clear();
+    LogLine(LogLevel::Warning, "ownership_lost").with("reason", reason);
+}
+
+void EntryNode::readRecords(const std::string& prefix, const std::string& after, std::uint64_t round)
+{
+    StoreRange range;
+    range.key = prefix;
+    range.prefix = true;
+    range.after = after;
+    m_hooks.storeCall(StoreRequest(range), recordTimeout, [this, prefix, after, round](StoreReply&& reply) {
+        if (round != m_round)
+            return;
+        if (reply.status != StoreStatus::Ok) {
+            LogLine(LogLevel::Warning, "take_over_read_failed").with("prefix", prefix);
+            readRecords(prefix, after, round);
+            return;
+        }
+        auto& list = prefix == CellKeys::jobs ? m_records.jobs : m_records.specs;
+        std::move(reply.values.begin(), reply.values.end(), std::back_inserter(list));
+        if (reply.more && !reply.values.empty()) {
+            readRecords(prefix, list.back().key, round);
+            return;
+        }
+        --m_reads;
+        beginIfRead(round);
+    });
+}
+
+void EntryNode::beginIfRead(std::uint64_t round)
+{
+    if (round != m_round || m_reads > 0 || !m_firstTargets || !m_config || m_owner.active() || !m_session.owning())
+        return;
+    const Time now = m_hooks.clock();
+    const FencingToken token(m_session.owner()->revision.value);
+    m_log.begin(m_session.owner()->revision);
+    m_owner.setConfig(*m_config);
+    m_owner.begin(token, std::exchange(m_records, {}), now);
+    m_listRegainedAt = now;
+    m_owner.targetsListed(*m_firstTargets, false, now);
+    LogLine(LogLevel::Info, "take_over_done").with("token", token).with("took_ms", toMs(now - m_wonAt));
+}
+
+void EntryNode::listTargets(Time now)
+{
+    if (m_listOpen || now < m_listAt)
+        return;
+    m_listOpen = true;
+    m_listAt = now + listInterval;
+    m_hooks.listTargets([this, round = m_round](std::optional<std::vector<TargetEntry>> entries) {
+        if (round != m_round)
+            return;
+        const Time at = m_hooks.clock();
+        m_listOpen = false;
+        if (!entries) {
+            if (!m_listFailed)
+                LogLine(LogLevel::Warning, "target_list_lost").with("open", m_owner.active());
+            m_listFailed = true;
+            m_listAt = at + peerRetry;
+            return;
+        }
+        if (m_listFailed) {
+            m_listFailed = false;
+            m_listRegainedAt = at;
+            LogLine(LogLevel::Info, "target_list_regained").with("entries", entries->size());
+        }
+        if (m_owner.active()) {
+            const bool settled = at - m_listRegainedAt >= m_settings.bounds.listSettled;
+            m_owner.targetsListed(*entries, settled, at);
+        } else {
+            m_firstTargets = std::move(entries);
+            beginIfRead(round);
+        }
+    });
+}
+
+void EntryNode::sendAdvice(const HostId& host, const AdviceQuestion& question, std::uint64_t ticket)
+{
+    const auto timeout = ceilMs(question.callTime) + adviceSlack;
+    const auto done = [this, question, ticket, round = m_round](const AdviceReply& reply) {
+        if (round != m_round)
+            return;
+        const Time now = m_hooks.clock();
+        m_owner.onAdvice(question, reply, now);
+        m_broker.finished(ticket, reply.answered, now);
+    };
+    const auto member = m_session.members().find(host);
+    if (host == m_settings.session.self || member == m_session.members().end()) {
+        m_hooks.advise(question, timeout, [done](AdviceReply&& reply) { done(reply); });
+        return;
+    }
+    proto::AdviceCall call;
+    call.set_job(question.step.job.value);
+    call.set_occurrence(question.step.occurrence);
+    call.set_step(question.step.step);
+    for (const TargetId& target : question.targets)
+        call.add_targets(target.value);
+    call.set_timeout_ms(static_cast<std::uint32_t>(timeout.count()));
+    m_hooks.callPeer(
+        member->second.address, advicePath, call.SerializeAsString(), timeout + peerRetry, [done](HttpResult&& result) {
+            AdviceReply reply;
+            proto::AdviceAnswer answer;
+            if (result.complete && result.status == 200 && answer.ParseFromString(result.body)) {
+                reply.answered = answer.answered();
+                for (const proto::AdviceTicket& row : answer.allowed())
+                    reply.allowed.emplace_back(TargetId(row.target()), row.ticket());
+            }
+            done(reply);
+        });
+}
+
+/**
+ * Takes a caller's request.
+ * @param request Request of a queue that the configuration has.
+ * @param reply Called once.
+ */
+void EntryNode::handle(CallerRequest&& request, CallerReply reply)
+{
+    auto pending = std::make_shared<Pending>();
+    pending->request = std::move(request);
+    pending->reply = std::move(reply);
+    ++m_openRequests;
+    tryOnce(pending);
+}
+
+void EntryNode::finishPending(const std::shared_ptr<Pending>& pending, CallerResult&& result)
+{
+    if (std::exchange(pending->finished, true))
+        return;
+    --m_openRequests;
+    const auto took = m_hooks.clock() - pending->request.receivedAt;
+    m_requestSeconds.record(took);
+    if (result.kind == CallerResult::Kind::Uncertain)
+        m_uncertain.add();
+    if (result.kind != CallerResult::Kind::Done || pending->request.action == CallerAction::Submit
+        || pending->request.action == CallerAction::Cancel) {
+        static constexpr std::array<const char*, 4> actions { "submit", "state", "cancel", "count" };
+        static constexpr std::array<const char*, 4> kinds { "done", "refused", "uncertain", "gone" };
+        LogLine(result.kind == CallerResult::Kind::Uncertain ? LogLevel::Warning : LogLevel::Info, "request_answered")
+            .with("job", pending->request.job)
+            .with("action", actions[static_cast<std::size_t>(pending->request.action)])
+            .with("result", kinds[static_cast<std::size_t>(result.kind)])
+            .with("reason", result.reason)
+            .with("tries", pending->tries)
+            .with("took_ms", toMs(took));
+    }
+    pending->reply(std::move(result));
+}
+
+/** Asks the owner once, here or at its host. */
+void EntryNode::tryOnce(const std::shared_ptr<Pending>& pending)
+{
+    const Time now = m_hooks.clock();
+    const CallerRequest& request = pending->request;
+    proto::OwnerCall call;
+    call.set_kind(static_cast<proto::OwnerCall::Kind>(request.action));
+    call.set_config_version(m_config ? m_config->version : 0);
+    call.set_queue(request.queue.value);
+    call.set_job(request.job.value);
+    call.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMs(pending->deadline() - now))));
+    if (request.spec)
+        toProto(*request.spec, *call.mutable_spec());
+    ++pending->tries;
+    if (m_session.owning()) {
+        serveOwnerCall(call, [this, pending](const proto::OwnerAnswer& answer) { takeOwnerAnswer(pending, answer); });
+        return;
+    }
+    const auto& owner = m_session.owner();
+    if (!owner || owner->host == m_settings.session.self) {
+        retryPending(pending, "the cell has no owner", false);
+        return;
+    }
+    m_forwarded.add();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(pending->deadline() - now);
+    const auto timeout = std::clamp(left, peerRetry, peerTimeout);
+    m_hooks.callPeer(owner->address, callPath, call.SerializeAsString(), timeout, [this, pending](HttpResult&& result) {
+        proto::OwnerAnswer answer;
+        if (result.complete && result.status == 200 && answer.ParseFromString(result.body))
+            takeOwnerAnswer(pending, answer);
+        else
+            retryPending(pending, "the owner did not answer", result.sent);
+    });
+}
+
+void EntryNode::takeOwnerAnswer(const std::shared_ptr<Pending>& pending, const proto::OwnerAnswer& answer)
+{
+    CallerResult result;
+    result.reason = answer.reason();
+    switch (answer.status()) {
+    case proto::OwnerAnswer::OK:
+        result.kind = CallerResult::Kind::Done;
+        result.state = answer.state();
+        result.count = answer.count();
+        break;
+    case proto::OwnerAnswer::GONE:
+        result.kind = CallerResult::Kind::Gone;
+        break;
+    case proto::OwnerAnswer::REFUSED:
+        result.kind = pending->unsure ? CallerResult::Kind::Uncertain : CallerResult::Kind::Refused;
+        result.retryAfter = std::chrono::milliseconds(answer.retry_after_ms());
+        break;
+    case proto::OwnerAnswer::UNKNOWN:
+        retryPending(pending, "the owner changed meanwhile", true);
+        return;
+    default:
+        retryPending(pending, answer.reason().c_str(), false);
+        return;
+    }
+    finishPending(pending, std::move(result));
+}
+
+/** Tries again shortly, or answers when that can't succeed in time. Repeating is safe: jobs are known by their id. */
+void EntryNode::retryPending(const std::shared_ptr<Pending>& pending, const char* reason, bool sent)
+{
+    const Time now = m_hooks.clock();
+    pending->unsure |= sent;
+    const bool submit = pending->request.action == CallerAction::Submit;
+    const Time giveUpAt = submit && !pending->unsure
+        ? std::min(pending->deadline(), pending->request.receivedAt + ownerPatience)
+        : pending->deadline();
+    if (now + peerRetry < giveUpAt) {
+        m_retries.emplace_back(now + peerRetry, pending);
+        return;
+    }
+    if (pending->request.action == CallerAction::State && m_session.reachesStore(now)) {
+        readStateFromStore(pending);
+        return;
+    }
+    CallerResult result;
+    result.kind = pending->unsure ? CallerResult::Kind::Uncertain : CallerResult::Kind::Refused;
+    result.retryAfter = retryAfterNoOwner;
+    result.reason = reason;
+    finishPending(pending, std::move(result));
+}
+
+/** While the owner can't be asked, the record tells the state that was stored last. */
+void EntryNode::readStateFromStore(const std::shared_ptr<Pending>& pending)
+{
+    StoreRange range;
+    range.key = CellKeys::jobs + pending->request.job.value;
+    m_hooks.storeCall(StoreRequest(range), answerMargin, [this, pending](StoreReply&& reply) {
+        CallerResult result;
+        result.reason = "read from the store";
+        if (reply.status != StoreStatus::Ok) {
+            result.kind = CallerResult::Kind::Refused;
+            result.retryAfter = retryAfterNoOwner;
+        } else if (reply.values.empty()) {
+            result.kind = CallerResult::Kind::Gone;
+        } else {
+            proto::CellJobRecord record;
+            if (!record.ParseFromString(reply.values.front().value)
+                || record.state() > static_cast<std::uint32_t>(JobState::Cancelled)) {
+                LogLine(LogLevel::Error, "job_record_unreadable").with("job", pending->request.job);
+                result.kind = CallerResult::Kind::Refused;
+                result.retryAfter = retryAfterNoOwner;
+            } else {
+                result.kind = CallerResult::Kind::Done;
+                result.state = jobStateName(static_cast<JobState>(record.state()));
+            }
+        }
+        finishPending(pending, std::move(result));
+    });
+}
+
+/** Answers a request as the owner. */
+void EntryNode::serveOwnerCall(const proto::OwnerCall& call, std::function<void(const proto::OwnerAnswer&)> reply)
+{
+    const Time now = m_hooks.clock();
+    proto::OwnerAnswer answer;
+    if (!m_owner.active() || !m_session.leaseFresh(now)) {
+        answer.set_status(proto::OwnerAnswer::NOT_OWNER);
+        answer.set_reason(m_owner.active() ? "the owner's lease is not fresh" : "the owner is still taking over");
+        reply(answer);
+        return;
+    }
+    if (!m_config || m_config->version < call.config_version()) {
+        answer.set_status(proto::OwnerAnswer::NOT_OWNER);
+        answer.set_reason("the owner has an older configuration");
+        reply(answer);
+        return;
+    }
+    const auto replyJob = [reply](JobAnswer&& job) {
+        proto::OwnerAnswer out;
+        static constexpr std::array<proto::OwnerAnswer::Status, 4> statuses { proto::OwnerAnswer::OK,
+            proto::OwnerAnswer::REFUSED, proto::OwnerAnswer::UNKNOWN, proto::OwnerAnswer::GONE };
+        out.set_status(statuses[static_cast<std::size_t>(job.kind)]);
+        out.set_retry_after_ms(static_cast<std::uint32_t>(job.retryAfter.count()));
+        out.set_reason(job.reason);
+        reply(out);
+    };
+    answer.set_status(proto::OwnerAnswer::OK);
+    switch (call.kind()) {
+    case proto::OwnerCall::SUBMIT: {
+        CellJobSpec spec = fromProto(call.spec());
+        if (const QueueConfig* queue = m_config->queue(spec.queue))
+            spec.service = queue->service; // The newest version known here decides.
+        m_owner.submit(std::move(spec), now, replyJob);
+        return;
+    }
+    case proto::OwnerCall::CANCEL:
+        m_owner.cancel(JobId(call.job()), now, replyJob);
+        return;
+    case proto::OwnerCall::COUNT:
+        answer.set_count(m_owner.pending(QueueId(call.queue())));
+        break;
+    default:
+        if (const auto state = m_owner.state(JobId(call.job())))
+            answer.set_state(jobStateName(*state));
+        else
+            answer.set_status(proto::OwnerAnswer::GONE);
+        break;
+    }
+    reply(answer);
+}
+
+/** Takes a call of another entry host. @param call Call. @param reply Called once. */
+void EntryNode::handlePeer(ServedCall&& call, HttpListener::Reply reply)
+{
+    if (call.path == pingPath) {
+        reply({ 200, {}, "application/octet-stream", {} });
+        return;
+    }
+    if (call.path == advicePath) {
+        servePeerAdvice(std::move(call), std::move(reply));
+        return;
+    }
+    proto::OwnerCall message;
+    if (call.path != callPath || !message.ParseFromString(call.body)) {
+        LogLine(LogLevel::Warning, "peer_call_unreadable").with("path", call.path).with("bytes", call.body.size());
+        reply({ 400, {}, "application/octet-stream", {} });
+        return;
+    }
+    serveOwnerCall(message, [reply = std::move(reply)](const proto::OwnerAnswer& answer) {
+        reply({ 200, answer.SerializeAsString(), "application/octet-stream", {} });
+    });
+}
+
+void EntryNode::servePeerAdvice(ServedCall&& call, HttpListener::Reply reply)
+{
+    proto::AdviceCall message;
+    if (!message.ParseFromString(call.body)) {
+        LogLine(LogLevel::Warning, "peer_call_unreadable").with("path", call.path).with("bytes", call.body.size());
+        reply({ 400, {}, "application/octet-stream", {} });
+        return;
+    }
+    AdviceQuestion question;
+    question.step = { JobId(message.job()), message.occurrence(), message.step() };
+    for (const std::string& target : message.targets())
+        question.targets.emplace_back(target);
+    m_hooks.advise(
+        question, std::chrono::milliseconds(message.timeout_ms()), [reply = std::move(reply)](AdviceReply&& advice) {
+            proto::AdviceAnswer answer;
+            answer.set_answered(advice.answered);
+            for (const auto& [target, ticket] : advice.allowed) {
+                auto& row = *answer.add_allowed();
+                row.set_target(target.value);
+                row.set_ticket(ticket);
+            }
+            reply({ 200, answer.SerializeAsString(), "application/octet-stream", {} });
+        });
+}
+
+/**
+ * Whether callers should be sent here.
+ * @param now Present time.
+ * @param reason Set to the reason if not.
+ * @return True if requests are taken.
+ */
+bool EntryNode::ready(Time now, std::string& reason) const
+{
+    if (m_draining)
+        reason = "shutting down";
+    else if (!m_config)
+        reason = "no configuration yet";
+    else if (!m_session.reachesStore(now))
+        reason = "the store does not answer";
+    return reason.empty();
+}
+
+/** Begins the end of the process: gives the cell up and takes no more duties. @param now Present time. */
+void EntryNode::drain(Time now)
+{
+    m_draining = true;
+    m_session.setEligible(false);
+    m_session.resign("the process is shutting down", now);
+}
+
+/** An owner that all other members have lost gives the cell up to one of them. */
+void EntryNode::checkPeers(Time now)
+{
+    const auto& members = m_session.members();
+    if (now >= m_pingAt) {
+        m_pingAt = now + pingInterval;
+        std::vector<HostId> hosts;
+        for (const auto& [host, member] : members) {
+            hosts.push_back(host);
+            if (host == m_settings.session.self)
+                continue;
+            m_peerHeard.try_emplace(host, now);
+            m_hooks.callPeer(member.address, pingPath, {}, pingTimeout, [this, id = host](HttpResult&& result) {
+                if (result.complete)
+                    m_peerHeard[id] = m_hooks.clock();
+            });
+        }
+        if (!members.contains(m_settings.session.self))
+            hosts.push_back(m_settings.session.self);
+        m_broker.setHosts(hosts);
+        std::erase_if(m_peerHeard, [&](const auto& entry) { return !members.contains(entry.first); });
+    }
+    const bool isolated = !m_peerHeard.empty()
+        && std::all_of(m_peerHeard.begin(), m_peerHeard.end(),
+            [&](const auto& entry) { return now - entry.second > isolatedFor; });
+    if (isolated) {
+        m_session.abstain(now + abstainTime);
+        m_session.resign("no other member answers", now);
+        m_peerHeard.clear();
+    }
+}
+
+/** The event loop came around late: the host is too slow at present. @param late By how much. @param now Time. */
+void EntryNode::loopWasLate(std::chrono::milliseconds late, Time now)
+{
+    if (late < lateLoop)
+        return;
+    if (now - m_lateLast > lateFor)
+        m_lateSince = now;
+    m_lateLast = now;
+    if (m_session.owning() && now - m_lateSince > lateFor && m_session.members().size() > 1) {
+        m_session.abstain(now + abstainTime);
+        m_session.resign("this host is too slow", now);
+    }
+}
+
+/** Does what is due. @param now Present time. */
+void EntryNode::tick(Time now)
+{
+    m_session.setEligible(!m_draining && m_config.has_value());
+    m_session.tick(now);
+    if (m_session.owning()) {
+        m_owner.setMayOrder(m_owner.active() && m_session.leaseFresh(now));
+        listTargets(now);
+        checkPeers(now);
+        m_owner.tick(now);
+        m_broker.tick(now);
+        m_log.tick(now);
+    }
+    auto due = std::exchange(m_retries, {});
+    for (auto& [at, pending] : due) {
+        if (at <= now)
+            tryOnce(pending);
+        else
+            m_retries.emplace_back(at, std::move(pending));
+    }
+}
+
+/** When tick() is due. @param now Present time. @return Time. */
+Time EntryNode::wakeAt(Time now) const
+{
+    Time at = m_session.wakeAt().value_or(now);
+    if (m_session.owning()) {
+        at = std::min({ at, m_listOpen ? at : m_listAt, m_pingAt });
+        if (m_owner.active())
+            at = std::min(at, m_owner.wakeAt().value_or(at));
+        if (const auto log = m_log.wakeAt())
+            at = std::min(at, *log);
+    }
+    for (const auto& [when, pending] : m_retries)
+        at = std::min(at, when);
+    return at;
+}
+
+} // namespace sp
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -7,18 +7,23 @@
 #include <glog/logging.h>
 #include <poll.h>
 #include <thread>
+#include <unistd.h>
 
 namespace sp {
 
 namespace {
 
     constexpr std::size_t logRingLines = 65536; ///< At 20,000 decisions a second this bridges a stall of three seconds.
+    constexpr int structuredBatchMs = 100; ///< Structured lines are written in batches, since each wake-up costs.
+    constexpr int structuredLinesPerBatch = 300; ///< Ordinary lines of a batch; bounds the volume to 3,000 a second.
+    constexpr std::size_t structuredRingLines = 4096; ///< About 1 MB of lines that wait for a blocked reader.
 
     struct Line {
         LogPart part;
         LogLevel level;
         std::chrono::system_clock::time_point at; ///< When the line was handed over, not when it is written.
         std::string text;
+        bool structured = false;
     };
 
     Ring<Line>& logRing()
@@ -28,9 +33,63 @@
     }
 
     std::atomic<std::uint64_t> linesDropped { 0 };
+    std::atomic<int> structuredLeft { structuredLinesPerBatch }; ///< Ordinary lines that this batch still takes.
     std::atomic<bool> running { false };
+    std::atomic<LogSink> sinkInUse { LogSink::StandardError };
     std::thread writer;
 
+    constexpr std::array<const char*, 3> levelNames { "info", "warning", "error" };
+
+    void appendStructured(std::string& out, const Line& line)
+    {
+        out += "at=" + wallText(line.at) + " level=" + levelNames[static_cast<std::size_t>(line.level)] + ' ';
+        if (!line.structured)
+            out += std::string("part=") + logPrefix(line.part) + " text=";
+        out += line.text;
+        out += '\n';
+    }
+
+    /** Writes all bytes to standard output; a reader that is slow only holds up this thread. */
+    void writeOut(std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const ssize_t count = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
+            if (count > 0)
+                bytes.remove_prefix(static_cast<std::size_t>(count));
+            else if (errno != EINTR)
+                return; // Nobody reads any more; there is no place left to report that to.
+        }
+    }
+
+    void writeBatch(std::uint64_t& droppedBefore)
+    {
+        structuredLeft = structuredLinesPerBatch;
+        std::string out;
+        for (const Line& line : logRing().drain())
+            appendStructured(out, line);
+        if (const std::uint64_t dropped = linesDropped; dropped != droppedBefore) {
+            appendStructured(out,
+                { LogPart::Main, LogLevel::Warning, wallNow(),
+                    "event=log_lines_dropped count=" + std::to_string(dropped - droppedBefore), true });
+            droppedBefore = dropped;
+        }
+        writeOut(out);
+    }
+
+    void structuredLoop()
+    {
+        std::uint64_t dropped = 0;
+        pollfd waitFor { logRing().wakeFd(), POLLIN, 0 };
+        while (running.load(std::memory_order_relaxed)) {
+            poll(&waitFor, 1, -1);
+            // More lines gather while it waits; the descriptor stays readable until they are drained.
+            if (running.load(std::memory_order_relaxed))
+                std::this_thread::sleep_for(std::chrono::milliseconds(structuredBatchMs));
+            writeBatch(dropped);
+        }
+        writeBatch(dropped);
+    }
+
     void write(const Line& line)
     {
         static constexpr std::array<google::LogSeverity, 3> severities { google::GLOG_INFO, google::GLOG_WARNING,
@@ -74,11 +133,18 @@
 }
 
 /**
- * Starts the writing thread. Lines go to standard error only, since hosts have no disks.
+ * Starts the writing thread.
  * @param program Name of the program, kept by the caller.
+ * @param sink Standard error for lines of text written by glog, standard output for structured lines in batches.
  */
-void startLog(const char* program)
+void startLog(const char* program, LogSink sink)
 {
+    sinkInUse = sink;
+    if (sink == LogSink::StandardOutput) {
+        running = true;
+        writer = std::thread(structuredLoop);
+        return;
+    }
     FLAGS_logtostderr = true;
     FLAGS_log_prefix = false;
     google::InitGoogleLogging(program);
@@ -93,7 +159,8 @@
         return;
     logRing().wake();
     writer.join();
-    google::ShutdownGoogleLogging();
+    if (sinkInUse == LogSink::StandardError)
+        google::ShutdownGoogleLogging();
 }
 
 /**
@@ -106,7 +173,23 @@
 {
     if (!running.load(std::memory_order_relaxed))
         return;
-    if (!logRing().tryPush(Line { part, level, wallNow(), std::move(text) }))
+    if (!logRing().tryPush(Line { part, level, wallNow(), std::move(text), false }))
+        linesDropped.fetch_add(1, std::memory_order_relaxed);
+}
+
+/**
+ * Hands a line of fields to the writing thread; never blocks. Under load ordinary lines beyond a fixed rate are dropped
+ * and counted, then others once the ring is full.
+ * @param level Importance.
+ * @param text Fields, without the time and the level.
+ */
+void logStructured(LogLevel level, std::string text)
+{
+    if (!running.load(std::memory_order_relaxed))
+        return;
+    const bool overRate = level == LogLevel::Info && structuredLeft.fetch_sub(1, std::memory_order_relaxed) <= 0;
+    if (overRate || logRing().size() >= structuredRingLines
+        || !logRing().tryPush(Line { LogPart::Main, level, wallNow(), std::move(text), true }))
         linesDropped.fetch_add(1, std::memory_order_relaxed);
 }
 
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -22,11 +22,15 @@
 /** Importance of a log line. */
 enum class LogLevel : std::uint8_t { Info, Warning, Error };
 
-void startLog(const char* program);
+/** Where lines go. Hosts have no disks, so it is never a file. */
+enum class LogSink : std::uint8_t { StandardError, StandardOutput };
+
+void startLog(const char* program, LogSink sink = LogSink::StandardError);
 void stopLog();
 void logLine(LogPart part, LogLevel level, std::string text);
 void logInfo(LogPart part, std::string text);
 void logWarning(LogPart part, std::string text);
+void logStructured(LogLevel level, std::string text);
 std::uint64_t logLinesDropped();
 const char* logPrefix(LogPart part);
 
--- a/src/store_type.h
+++ b/src/store_type.h
@@ -50,6 +50,14 @@
     std::string key;
     bool prefix = false;
     Revision minModRevision; ///< Only keys changed at this revision or later; 0 for all.
+    std::string after; ///< Only keys behind this one, to continue a long range; empty for all.
+};
+
+/** Waits for changes of keys with a prefix. */
+struct StoreWatch {
+    std::string prefix;
+    Revision after; ///< Changes behind this revision.
+    std::chrono::milliseconds wait { 0 }; ///< Longest time without a change.
 };
 
 /** Creates a lease. */
@@ -84,6 +92,7 @@
     StoreStatus status = StoreStatus::Lost;
     std::vector<StoreKeyValue> values;
     std::int64_t count = 0; ///< Range: all keys in the range, whatever minModRevision.
+    bool more = false; ///< Range: keys behind the last one were left out.
     Revision revision; ///< Revision of the store at the call.
     StoreLeaseId lease; ///< Granted or renewed lease.
     std::chrono::seconds ttl { 0 }; ///< Time to live of the lease, counted from the call's sending.
@@ -98,6 +107,13 @@
     Revision revision; ///< All changes up to this one are delivered.
 };
 
+/** Answer to a watch. */
+struct StoreWatchReply {
+    StoreStatus status = StoreStatus::Lost;
+    bool compacted = false; ///< The history behind the revision is gone; the keys must be read anew.
+    StoreWatchBatch changes;
+};
+
 /** Blocking access to the store for the operators' command line; the real service may differ behind these hooks. */
 struct StoreHooks {
     std::function<StoreReply(const StoreRequest&)> call; ///< Performs one call and waits for its answer.
