--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	@.ci/lint $(BUILD)
 
 proto: ## regenerates the committed protobuf code
-	@protoc -I src --cpp_out=src src/proto/messages.proto
+	@protoc -I src --cpp_out=src src/proto/messages.proto src/proto/cell.proto
 
 check: build ## all tests, formatter, linter, sanitizers
 	@.ci/check $(BUILD)
