Fix: key of an erased run was used after the lease of a former owner lapsed

Cause: sweepTarget passed a reference into the map whose entry runGone erases; processes ended with 139 some seconds after a take-over with a target that never answered.

--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -202,8 +202,10 @@
     }
     // A target that never answered: what a former owner left there.
     if (target.heardAt == Time {} && now >= target.lapsesBy && !target.occupants.empty()) {
-        while (!target.occupants.empty())
-            runGone(target, target.occupants.begin()->first, "lease of a former owner lapsed", now);
+        while (!target.occupants.empty()) {
+            const CellTaskKey key = target.occupants.begin()->first; // The entry goes away.
+            runGone(target, key, "lease of a former owner lapsed", now);
+        }
     }
     if (!m_mayOrder || target.entry.address.empty())
         return;
