--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -171,7 +171,8 @@
     LookOrder order;
     order.token = m_token;
     order.endsAcknowledged = target.endsSaved();
-    if (target.clockSeenAt != Time {}) {
+    // A silent target gets no longer lease, so that what runs there can be taken for ended once the last one is over.
+    if (target.clockSeenAt != Time {} && !target.silent()) {
         order.leaseUntil = target.clockAtLeast(now) + holdTime();
         target.leaseSent = std::max(target.leaseSent, *order.leaseUntil);
     }
