Fix: an end that a former owner has counted is not counted again; log survives a reader that is slow

The record names the target until the end is counted, so an end without a run on record is passed over, unless work was done.

--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -508,6 +508,10 @@
     TaskState* task = job && !isFinal(job->state) ? job->task(end.task) : nullptr;
     if (!task || task->done || task->run != end.run)
         return; // Nothing depends on this end any more.
+    // An end that a former owner has counted is listed again until it is acknowledged; the record no longer names the
+    // target then. Work that was done there counts all the same.
+    if (!known && end.kind != EndKind::Done)
+        return;
     target.endsUnsaved.insert(end.number);
     runWhenSaved(*job, [this, id = target.id(), born = target.reportedBornMs, number = end.number](bool saved) {
         CellTarget* found = saved ? findTarget(id) : nullptr;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -56,7 +56,12 @@
             const ssize_t count = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
             if (count > 0)
                 bytes.remove_prefix(static_cast<std::size_t>(count));
-            else if (errno != EINTR)
+            else if (errno == EAGAIN) {
+                pollfd waitFor { STDOUT_FILENO, POLLOUT, 0 };
+                poll(&waitFor, 1, structuredBatchMs);
+                if (!running.load(std::memory_order_relaxed))
+                    return; // The process is ending and must not wait for a reader.
+            } else if (errno != EINTR)
                 return; // Nobody reads any more; there is no place left to report that to.
         }
     }
