--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -132,17 +132,28 @@
         placeStep(ready, now);
 }
 
+namespace {
+
+    /** Tasks of a step on each target. */
+    std::map<const CellTarget*, std::uint32_t> tasksByTarget(const StepState& state)
+    {
+        std::map<const CellTarget*, std::uint32_t> counts;
+        for (const TaskState& task : state.tasks) {
+            if (task.target)
+                ++counts[task.target];
+        }
+        return counts;
+    }
+
+} // namespace
+
 /** Targets that may run a step at present, with their room. */
 std::vector<PlacementOption> CellOwner::optionsFor(
     const CellJob& job, const StepState& state, const StepSpec& step, Time now)
 {
     const ServiceId service = serviceOf(job);
     const QueueConfig* queue = queueOf(job);
-    std::map<const CellTarget*, std::uint32_t> sameStep;
-    for (const TaskState& task : state.tasks) {
-        if (task.target)
-            ++sameStep[task.target];
-    }
+    const auto sameStep = tasksByTarget(state);
     std::vector<PlacementOption> options;
     for (const auto& [id, target] : m_targets) {
         if (target->entry.service != service || !target->usable(now) || !mayEverRun(*target, step))
@@ -301,13 +312,16 @@
         double expected = 0; ///< Tasks that the target will take if asked.
     };
     const auto share = m_allowedShare.try_emplace(queue->id, unknownAllowedShare).first->second;
+    const auto sameStep = tasksByTarget(state);
     std::vector<Asked> asked;
     double have = 0;
     for (const auto& [id, target] : m_targets) {
         if (target->entry.service != queue->service || !target->usable(now) || advice.denied.contains(id)
             || !mayEverRun(*target, spec))
             continue;
-        const std::uint32_t fits = tasksThatFit({ target.get(), target->room(), 0 }, spec);
+        const auto same = sameStep.find(target.get());
+        const std::uint32_t fits
+            = tasksThatFit({ target.get(), target->room(), same == sameStep.end() ? 0 : same->second }, spec);
         if (fits == 0)
             continue;
         const auto known = advice.allowed.find(id);
