--- a/src/cell_session.cpp
+++ b/src/cell_session.cpp
@@ -153,7 +153,10 @@
         return;
     }
     m_watchFailures = 0;
-    heard({ {}, StoreStatus::Ok, {}, 0, false, reply.changes.revision, {}, {}, {} }, now);
+    StoreReply answered;
+    answered.status = StoreStatus::Ok;
+    answered.revision = reply.changes.revision;
+    heard(answered, now);
     for (const StoreKeyValue& item : reply.changes.puts)
         apply(item, now);
     for (const std::string& key : reply.changes.deletes)
--- a/src/store_type.h
+++ b/src/store_type.h
@@ -50,7 +50,7 @@
     std::string key;
     bool prefix = false;
     Revision minModRevision; ///< Only keys changed at this revision or later; 0 for all.
-    std::string after; ///< Only keys behind this one, to continue a long range; empty for all.
+    std::string after {}; ///< Only keys behind this one, to continue a long range; empty for all.
 };
 
 /** Waits for changes of keys with a prefix. */
@@ -92,11 +92,11 @@
     StoreStatus status = StoreStatus::Lost;
     std::vector<StoreKeyValue> values;
     std::int64_t count = 0; ///< Range: all keys in the range, whatever minModRevision.
-    bool more = false; ///< Range: keys behind the last one were left out.
     Revision revision; ///< Revision of the store at the call.
     StoreLeaseId lease; ///< Granted or renewed lease.
     std::chrono::seconds ttl { 0 }; ///< Time to live of the lease, counted from the call's sending.
     Time sentAt {}; ///< When the call was sent.
+    bool more {}; ///< Range: keys behind the last one were left out.
 };
 
 /** Changes delivered by a watch. */
--- /dev/null
+++ b/tests/cell_world.h
@@ -0,0 +1,526 @@
+/** @file cell_world.h An owner of a cell with a simulated store, targets and advisor. Time passes only in run(). */
+#pragma once
+
+#include "cell_owner.h"
+#include "record_log.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sp::test {
+
+using namespace std::chrono_literals;
+
+/** A run on a simulated target. */
+struct WorldRun {
+    std::uint32_t run = 0;
+    Time startedAt {};
+    Duration worked {}; ///< Before startedAt, restored from a checkpoint.
+    Duration length {}; ///< Work until the run is done; 0 for one that lasts.
+    Time leaseEnds {};
+    std::uint64_t serial = 0; ///< Distinguishes runs for their scheduled ends.
+};
+
+/** A simulated target. */
+struct WorldTarget {
+    TargetEntry entry;
+    FencingToken token;
+    std::map<CellTaskKey, WorldRun> runs;
+    std::vector<EndRow> ends;
+    std::uint64_t lastEnd = 0;
+    std::uint64_t acknowledged = 0;
+    std::set<std::pair<CellTaskKey, std::uint32_t>> stopped; ///< Runs that were stopped or have ended.
+    bool listed = true;
+    bool reachable = true; ///< Orders arrive and answers return.
+    bool alive = true; ///< False: it runs nothing and never answers.
+    bool failsAll = false; ///< Each run fails at once.
+    bool standsStill = false; ///< Runs make no progress.
+    int loseStarts = 0; ///< So many start orders are carried out without an answer.
+    OrderResult refuseStarts = OrderResult::Done; ///< Anything else: start orders are refused with it.
+    std::function<void()> answerLook; ///< The look that waits for an end.
+};
+
+/** A start that a target has carried out. */
+struct WorldStart {
+    CellTaskKey task;
+    std::uint32_t run = 0;
+    TargetId target;
+    Time at {};
+};
+
+class CellWorld {
+public:
+    Time now { std::chrono::hours(1) };
+    std::map<std::string, StoreKeyValue> store;
+    std::uint64_t revision = 100;
+    bool storeUp = true;
+    int loseStoreAnswers = 0; ///< So many transactions are carried out without an answer.
+    std::map<TargetId, WorldTarget> targets;
+    std::vector<WorldStart> starts;
+    std::vector<std::string> violations;
+    std::map<JobId, JobAnswer::Kind> answers;
+    std::function<bool(const TargetId&)> advisorAllows = [](const TargetId&) { return true; };
+    std::vector<AdviceQuestion> questions;
+    std::vector<std::pair<CellTaskKey, int>> paces;
+    std::function<Duration(const CellTaskKey&)> lengthOf = [](const CellTaskKey&) { return Duration(500ms); };
+    std::function<std::int64_t(const CellTaskKey&)> gaugeOf = [](const CellTaskKey&) { return 0; };
+    CellConfig config;
+    CellBounds bounds;
+    int superseded = 0;
+
+    CellWorld()
+    {
+        QueueConfig queue;
+        queue.id = QueueId("q");
+        queue.service = ServiceId("s");
+        queue.maxAttempts = 2;
+        queue.targetLatency = 250ms;
+        queue.slackFactor = 1.5;
+        config.version = 1;
+        config.queues = { queue };
+        config.services = { { ServiceId("s"), false, false } };
+    }
+
+    void addTargets(int count, Resources capacity = { 16000, 32000, 0 })
+    {
+        for (int i = 0; i < count; ++i) {
+            const std::string number = std::to_string(targets.size() + 1);
+            WorldTarget target;
+            target.entry.id = TargetId("t" + number);
+            target.entry.machine = MachineId("m" + number);
+            target.entry.bornMs = 1;
+            target.entry.address = "a" + number;
+            target.entry.service = ServiceId("s");
+            target.entry.capacity = capacity;
+            target.entry.labels = { "a", "r" + number };
+            target.entry.rack = RackId("r" + number);
+            targets.emplace(target.entry.id, target);
+        }
+    }
+
+    /** Lets a new owner take over; what the former one has under way is lost with it. */
+    void takeOver()
+    {
+        ++generation;
+        log.reset();
+        owner.reset();
+        RecordLogHooks hooks;
+        hooks.commit = [this](StoreTxn&& txn) { commit(std::move(txn)); };
+        hooks.collect = [this](std::size_t limit) { return owner->collect(limit); };
+        hooks.ownershipLost = [this](const std::string&) { ++superseded; };
+        log = std::make_unique<RecordLog>("own/owner", CellKeys::sequence, std::move(hooks));
+        owner = std::make_unique<CellOwner>(bounds, metrics, ownerHooks());
+        put("own/owner", "x");
+        put(CellKeys::sequence, "claimed", revision);
+        owner->setConfig(config);
+        log->begin(Revision(revision));
+        CellRecords records;
+        for (const auto& [key, item] : store) {
+            if (key.starts_with(CellKeys::jobs))
+                records.jobs.push_back(item);
+            if (key.starts_with(CellKeys::specs))
+                records.specs.push_back(item);
+        }
+        owner->begin(FencingToken(revision), records, now);
+        list(false);
+    }
+
+    void list(bool settled = true)
+    {
+        std::vector<TargetEntry> entries;
+        for (const auto& [id, target] : targets) {
+            if (target.listed)
+                entries.push_back(target.entry);
+        }
+        owner->targetsListed(entries, settled, now);
+    }
+
+    static StepSpec step(std::uint32_t tasks, std::int64_t cores = 1000)
+    {
+        StepSpec spec;
+        spec.tasks = tasks;
+        spec.demand = { cores, 1000, 0 };
+        spec.estimate = 500ms;
+        return spec;
+    }
+
+    void submit(const std::string& id, std::vector<StepSpec> steps)
+    {
+        CellJobSpec spec;
+        spec.id = JobId(id);
+        spec.queue = QueueId("q");
+        spec.service = ServiceId("s");
+        spec.payload = "payload";
+        spec.steps = std::move(steps);
+        owner->submit(
+            std::move(spec), now, [this, job = JobId(id)](JobAnswer&& answer) { answers[job] = answer.kind; });
+    }
+
+    void cancel(const std::string& id)
+    {
+        owner->cancel(JobId(id), now, [this, id](JobAnswer&& answer) { answers[JobId("cancel-" + id)] = answer.kind; });
+    }
+
+    std::string state(const std::string& id) const
+    {
+        const auto found = owner->state(JobId(id));
+        return found ? jobStateName(*found) : "gone";
+    }
+
+    /** Lets time pass; the owner is ticked and the list of targets is read as in an entry host. */
+    void run(Duration duration)
+    {
+        constexpr Duration pace = 4ms;
+        const Time end = now + duration;
+        while (now < end) {
+            while (!m_events.empty() && m_events.begin()->first <= now) {
+                const auto event = std::move(m_events.begin()->second);
+                m_events.erase(m_events.begin());
+                event();
+            }
+            expireLeases();
+            if (owner) {
+                if (now >= m_listAt) {
+                    m_listAt = now + 700ms;
+                    list();
+                }
+                owner->tick(now);
+                log->tick(now);
+            }
+            now += pace;
+        }
+    }
+
+    std::size_t startsOf(const std::string& job) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            starts.begin(), starts.end(), [&](const WorldStart& start) { return start.task.job == JobId(job); }));
+    }
+
+    std::size_t running(const std::string& job) const
+    {
+        std::size_t count = 0;
+        for (const auto& [id, target] : targets) {
+            for (const auto& [key, run] : target.runs)
+                count += key.job == JobId(job) ? 1 : 0;
+        }
+        return count;
+    }
+
+    void endRun(WorldTarget& target, const CellTaskKey& key, EndKind kind)
+    {
+        const auto it = target.runs.find(key);
+        if (it == target.runs.end())
+            return;
+        if (kind == EndKind::Done)
+            m_done.insert(key);
+        target.stopped.emplace(key, it->second.run);
+        target.ends.push_back({ ++target.lastEnd, key, it->second.run, kind, {} });
+        target.runs.erase(it);
+        if (target.reachable && target.answerLook)
+            std::exchange(target.answerLook, nullptr)();
+    }
+
+    /** The target loses all it has and knows, and comes back as a new life. */
+    void restartTarget(WorldTarget& target)
+    {
+        target.runs.clear();
+        target.ends.clear();
+        target.stopped.clear();
+        target.lastEnd = 0;
+        target.token = {};
+        target.answerLook = nullptr;
+        ++target.entry.bornMs;
+    }
+
+    std::unique_ptr<CellOwner> owner;
+    std::unique_ptr<RecordLog> log;
+    Metrics metrics;
+    int generation = 0;
+
+private:
+    void at(Duration delay, std::function<void()> event)
+    {
+        // Events of a former owner's calls find that it is gone.
+        m_events.emplace(now + delay, std::move(event));
+    }
+
+    /** Like at(), for an answer to the present owner. */
+    void answer(Duration delay, std::function<void()> event)
+    {
+        at(delay, [this, expected = generation, event = std::move(event)] {
+            if (generation == expected && owner)
+                event();
+        });
+    }
+
+    void put(const std::string& key, const std::string& value, std::uint64_t sameRevision = 0)
+    {
+        const std::uint64_t at = sameRevision ? sameRevision : ++revision;
+        store[key] = { key, value, Revision(at) };
+    }
+
+    void commit(StoreTxn&& txn)
+    {
+        answer(4ms, [this, txn = std::move(txn)] {
+            StoreReply reply;
+            if (!storeUp) {
+                reply.status = StoreStatus::Lost;
+                log->answered(reply, now);
+                return;
+            }
+            bool holds = true;
+            for (const StoreCompare& compare : txn.compares) {
+                const auto it = store.find(compare.key);
+                holds &= it != store.end() && it->second.modRevision == compare.modRevision;
+                if (it != store.end())
+                    reply.values.push_back(it->second);
+            }
+            reply.status = holds ? StoreStatus::Ok : StoreStatus::CompareFailed;
+            if (holds) {
+                reply.revision = Revision(++revision);
+                for (const StoreWrite& write : txn.writes) {
+                    if (write.kind == StoreWrite::Kind::Put)
+                        store[write.key] = { write.key, write.value, reply.revision };
+                    else
+                        store.erase(write.key);
+                }
+            }
+            if (loseStoreAnswers > 0) {
+                --loseStoreAnswers;
+                reply = {};
+            }
+            log->answered(reply, now);
+        });
+    }
+
+    std::chrono::milliseconds clockOf(const WorldTarget& /*target*/) const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) - 3000000ms;
+    }
+
+    Time timeOf(std::chrono::milliseconds clock) const { return Time(clock + 3000000ms); }
+
+    void expireLeases()
+    {
+        for (auto& [id, target] : targets) {
+            std::vector<CellTaskKey> lapsed;
+            for (const auto& [key, run] : target.runs) {
+                if (run.leaseEnds <= now)
+                    lapsed.push_back(key);
+            }
+            for (const CellTaskKey& key : lapsed)
+                endRun(target, key, EndKind::Lapsed);
+        }
+    }
+
+    OrderResult start(WorldTarget& target, const StartOrder& order)
+    {
+        if (order.token < target.token)
+            return OrderResult::Fenced;
+        target.token = order.token;
+        if (target.refuseStarts != OrderResult::Done)
+            return target.refuseStarts;
+        if (const auto it = target.runs.find(order.task); it != target.runs.end())
+            return it->second.run == order.run ? OrderResult::Done : OrderResult::Outdated;
+        for (const auto& [key, run] : target.stopped) {
+            if (key == order.task && run >= order.run)
+                return OrderResult::Outdated;
+        }
+        if (timeOf(order.leaseUntil) <= now)
+            return OrderResult::LeasePast;
+        checkStart(target, order);
+        WorldRun run { order.run, now, {}, lengthOf(order.task), timeOf(order.leaseUntil), ++m_serial };
+        target.runs.emplace(order.task, run);
+        starts.push_back({ order.task, order.run, target.entry.id, now });
+        const TargetId id = target.entry.id;
+        if (target.failsAll)
+            at(50ms,
+                [this, id, key = order.task, serial = run.serial] { endIfSame(id, key, serial, EndKind::Failed); });
+        else if (run.length > Duration(0) && !target.standsStill)
+            at(run.length,
+                [this, id, key = order.task, serial = run.serial] { endIfSame(id, key, serial, EndKind::Done); });
+        return OrderResult::Done;
+    }
+
+    void endIfSame(const TargetId& id, const CellTaskKey& key, std::uint64_t serial, EndKind kind)
+    {
+        WorldTarget& target = targets.at(id);
+        if (const auto it = target.runs.find(key);
+            it != target.runs.end() && it->second.serial == serial && target.alive)
+            endRun(target, key, kind);
+    }
+
+    void checkStart(const WorldTarget& target, const StartOrder& order)
+    {
+        for (const auto& [id, other] : targets) {
+            if (other.alive && other.runs.contains(order.task))
+                violations.push_back("two runs of " + taskText(order.task));
+        }
+        if (m_done.contains(order.task))
+            violations.push_back("start after done of " + taskText(order.task));
+        const auto specOf = [&](const CellTaskKey& key) { return specs.at(key.job).at(key.step).reserved(); };
+        if (specs.contains(order.task.job)) {
+            Resources used = specOf(order.task);
+            for (const auto& [key, run] : target.runs) {
+                if (specs.contains(key.job))
+                    used += specOf(key);
+            }
+            if (!used.fitsIn(target.entry.capacity))
+                violations.push_back("over the capacity of " + target.entry.id.value);
+        }
+        if (order.payload != "payload")
+            violations.push_back("foreign payload for " + taskText(order.task));
+    }
+
+    CellOwnerHooks ownerHooks()
+    {
+        CellOwnerHooks hooks;
+        hooks.start = [this](const CellTarget& target, const StartOrder& order) {
+            const TargetId id = target.id();
+            // The order travels even if its sender is gone by then.
+            at(1ms, [this, id, order, expected = generation] {
+                WorldTarget& to = targets.at(id);
+                OrderAnswer reply { OrderResult::Lost, {} };
+                if (to.alive && to.reachable) {
+                    reply = { start(to, order), clockOf(to) };
+                    if (to.loseStarts > 0) {
+                        --to.loseStarts;
+                        reply = { OrderResult::Lost, {} };
+                    }
+                }
+                at(reply.result == OrderResult::Lost ? 500ms : 1ms, [this, id, order, reply, expected] {
+                    if (generation == expected)
+                        owner->onStarted(id, order.task, order.run, reply, now);
+                });
+            });
+        };
+        hooks.stop = [this](const CellTarget& target, const CellTaskKey& key, std::uint32_t run, FencingToken token) {
+            const TargetId id = target.id();
+            at(1ms, [this, id, key, run, token, expected = generation] {
+                WorldTarget& to = targets.at(id);
+                OrderAnswer reply { OrderResult::Lost, {} };
+                if (to.alive && to.reachable) {
+                    reply = { token < to.token ? OrderResult::Fenced : OrderResult::Done, clockOf(to) };
+                    if (reply.result == OrderResult::Done) {
+                        to.stopped.emplace(key, run);
+                        endRun(to, key, EndKind::Stopped);
+                    }
+                }
+                at(reply.result == OrderResult::Lost ? 500ms : 1ms, [this, id, key, run, reply, expected] {
+                    if (generation == expected)
+                        owner->onStopped(id, key, run, reply, now);
+                });
+            });
+        };
+        hooks.pace
+            = [this](const CellTarget& target, const CellTaskKey& key, std::uint32_t run, int percent, FencingToken) {
+                  paces.emplace_back(key, percent);
+                  answer(2ms, [this, id = target.id(), key, run, percent] {
+                      owner->onPaced(id, key, run, percent, { OrderResult::Done, clockOf(targets.at(id)) }, now);
+                  });
+              };
+        hooks.look = [this](const CellTarget& target, const LookOrder& order) { look(target.id(), order); };
+        hooks.ask = [this](const AdviceQuestion& question) {
+            questions.push_back(question);
+            answer(20ms, [this, question] {
+                AdviceReply reply;
+                reply.answered = true;
+                for (const TargetId& id : question.targets) {
+                    if (advisorAllows(id))
+                        reply.allowed.emplace_back(id, "ticket");
+                }
+                owner->onAdvice(question, reply, now);
+            });
+        };
+        hooks.flush = [this](Time when) { log->requestFlush(when); };
+        hooks.superseded = [this](const std::string&) { ++superseded; };
+        hooks.calendar = [this] {
+            return CalendarTime(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()));
+        };
+        return hooks;
+    }
+
+    void look(const TargetId& id, const LookOrder& order)
+    {
+        at(1ms, [this, id, order, expected = generation] {
+            WorldTarget& target = targets.at(id);
+            const auto lost = [this, id, order, expected] {
+                if (generation == expected)
+                    owner->onReport(id, order, { OrderResult::Lost, {} }, {}, now);
+            };
+            if (!target.alive || !target.reachable) {
+                at(order.wait + 600ms, lost);
+                return;
+            }
+            if (order.token < target.token) {
+                answer(1ms, [this, id, order] {
+                    owner->onReport(id, order, { OrderResult::Fenced, clockOf(targets.at(id)) }, {}, now);
+                });
+                return;
+            }
+            target.token = order.token;
+            target.acknowledged = std::max(target.acknowledged, order.endsAcknowledged);
+            std::erase_if(target.ends, [&](const EndRow& end) { return end.number <= order.endsAcknowledged; });
+            if (order.leaseUntil) {
+                for (auto& [key, run] : target.runs)
+                    run.leaseEnds = std::max(run.leaseEnds, timeOf(*order.leaseUntil));
+            }
+            const auto report = [this, id, order, expected] {
+                if (generation == expected)
+                    owner->onReport(id, order, { OrderResult::Done, clockOf(targets.at(id)) }, reportOf(id), now);
+            };
+            if (!target.ends.empty() || order.wait.count() == 0) {
+                at(1ms, report);
+                return;
+            }
+            auto answered = std::make_shared<bool>(false);
+            target.answerLook = [this, report, answered] {
+                if (!std::exchange(*answered, true))
+                    at(1ms, report);
+            };
+            at(order.wait, [this, id, answered, report, lost] {
+                if (std::exchange(*answered, true))
+                    return;
+                if (targets.at(id).reachable && targets.at(id).alive)
+                    report();
+                else
+                    at(600ms, lost);
+            });
+        });
+    }
+
+    RunReport reportOf(const TargetId& id)
+    {
+        const WorldTarget& target = targets.at(id);
+        RunReport report;
+        report.clock = clockOf(target);
+        report.bornMs = target.entry.bornMs;
+        for (const auto& [key, run] : target.runs) {
+            const double share = run.length > Duration(0)
+                ? std::chrono::duration<double>(now - run.startedAt) / std::chrono::duration<double>(run.length)
+                : 1;
+            const int percent = target.standsStill ? 0 : static_cast<int>(100 * std::min(1.0, share));
+            report.running.push_back({ key, run.run, {}, percent, gaugeOf(key) });
+        }
+        report.ended = target.ends;
+        return report;
+    }
+
+public:
+    std::map<JobId, std::vector<StepSpec>> specs; ///< Steps of jobs whose capacity is checked.
+
+private:
+    std::multimap<Time, std::function<void()>> m_events;
+    std::set<CellTaskKey> m_done;
+    std::uint64_t m_serial = 0;
+    Time m_listAt {};
+};
+
+} // namespace sp::test
--- /dev/null
+++ b/tests/test_cell_owner.cpp
@@ -0,0 +1,274 @@
+#include "doctest_main.h"
+
+#include "cell_world.h"
+
+using namespace sp;
+using namespace sp::test;
+
+namespace {
+
+struct Fixture : CellWorld {
+    Fixture()
+    {
+        addTargets(3);
+        takeOver();
+        run(100ms);
+    }
+    ~Fixture() { CHECK(violations == std::vector<std::string> {}); }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "a job is acknowledged once it is stored, runs its steps in order and completes")
+{
+    StepSpec second = step(2);
+    second.after = { 0 };
+    submit("j1", { step(4), second });
+    CHECK(answers.empty());
+    run(50ms);
+    CHECK(answers[JobId("j1")] == JobAnswer::Kind::Ok);
+    CHECK(store.contains("cell/job/j1"));
+    run(400ms);
+    CHECK(state("j1") == "running");
+    CHECK(startsOf("j1") == 4);
+    run(2s);
+    CHECK(state("j1") == "completed");
+    CHECK(startsOf("j1") == 6);
+    CHECK_FALSE(store.contains("cell/spec/j1"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "ends are acknowledged only after the record that counts them is stored")
+{
+    submit("j1", { step(3) });
+    run(300ms);
+    storeUp = false;
+    run(2s);
+    CHECK(std::all_of(targets.begin(), targets.end(), [](const auto& t) { return t.second.acknowledged == 0; }));
+    storeUp = true;
+    run(2s);
+    for (const auto& [id, target] : targets)
+        CHECK(target.acknowledged == target.lastEnd);
+}
+
+TEST_CASE_FIXTURE(Fixture, "nothing is started that is not recorded, and nothing is accepted, while the store is away")
+{
+    storeUp = false;
+    submit("j1", { step(3) });
+    run(1500ms);
+    CHECK(answers.empty());
+    CHECK(starts.empty());
+    storeUp = true;
+    run(1s);
+    CHECK(answers[JobId("j1")] == JobAnswer::Kind::Ok);
+    CHECK(startsOf("j1") == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a transaction whose answer is lost is not taken for a loss of ownership")
+{
+    loseStoreAnswers = 1;
+    submit("j1", { step(3) });
+    run(2s);
+    CHECK(superseded == 0);
+    CHECK(state("j1") == "completed");
+}
+
+// Processes ended with a signal: the key of the run was used after its entry was erased.
+TEST_CASE_FIXTURE(Fixture, "runs on a target that never answers a new owner are given up when the old lease has lapsed")
+{
+    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+    submit("a-job-with-a-name-too-long-to-be-kept-in-place", { step(3) });
+    run(500ms);
+    targets.at(TargetId("t1")).alive = false;
+    targets.at(TargetId("t1")).listed = false;
+    takeOver();
+    run(4s);
+    CHECK(starts.size() == 3);
+    run(6s);
+    CHECK(starts.size() == 4); // The one on the dead target runs elsewhere.
+}
+
+// Unanswered looks kept raising the largest lease in the owner's books.
+TEST_CASE_FIXTURE(Fixture, "runs on a target that has died are placed again after its lease")
+{
+    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+    submit("j1", { step(3) });
+    run(500ms);
+    targets.at(TargetId("t1")).alive = false;
+    run(11s);
+    CHECK(startsOf("j1") == 4);
+}
+
+TEST_CASE_FIXTURE(Fixture, "runs on a target that is cut off and runs on are not doubled")
+{
+    lengthOf = [](const CellTaskKey&) { return Duration(20s); };
+    submit("j1", { step(3) });
+    run(500ms);
+    targets.at(TargetId("t1")).reachable = false;
+    run(5s);
+    targets.at(TargetId("t1")).reachable = true;
+    run(30s);
+    CHECK(state("j1") == "completed");
+}
+
+// The failed end stayed in the target's list until it was acknowledged, and the next owner counted it again.
+TEST_CASE_FIXTURE(Fixture, "an end that a former owner has counted is not counted again")
+{
+    addTargets(1);
+    for (auto& [id, target] : targets)
+        target.failsAll = id == TargetId("t1");
+    lengthOf = [](const CellTaskKey&) { return Duration(30s); };
+    submit("j1", { step(1), step(1), step(1), step(1) });
+    run(40ms);
+    while (targets.at(TargetId("t1")).lastEnd == 0)
+        run(4ms);
+    // The owner changes between the record that counts the end and the look that acknowledges it.
+    const Revision before = store.at("cell/job/j1").modRevision;
+    while (store.at("cell/job/j1").modRevision == before)
+        run(4ms);
+    REQUIRE(targets.at(TargetId("t1")).acknowledged == 0);
+    for (auto& [id, target] : targets)
+        target.failsAll = false;
+    takeOver();
+    run(5s);
+    CHECK(state("j1") == "running");
+}
+
+// Targets at their limit counted as room, so nobody was asked and the task was never placed again.
+TEST_CASE_FIXTURE(Fixture, "advice is asked for when the allowed targets are at their limit of tasks of the step")
+{
+    addTargets(7);
+    config.queues[0].advisor = AdvisorTraits { 20ms, 1ms, 2000ms };
+    owner->setConfig(config);
+    run(100ms);
+    StepSpec spread = step(3);
+    spread.perTargetLimit = 1;
+    spread.lasting = true;
+    lengthOf = [](const CellTaskKey&) { return Duration(0); };
+    submit("j1", { spread });
+    run(1s);
+    REQUIRE(running("j1") == 3);
+    for (auto& [id, target] : targets) {
+        if (!target.runs.empty()) {
+            endRun(target, target.runs.begin()->first, EndKind::Failed);
+            break;
+        }
+    }
+    run(3s);
+    CHECK(running("j1") == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a cancelled job is stopped, and stays cancelled for the next owner")
+{
+    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+    submit("j1", { step(3) });
+    run(500ms);
+    cancel("j1");
+    run(500ms);
+    CHECK(answers[JobId("cancel-j1")] == JobAnswer::Kind::Ok);
+    CHECK(running("j1") == 0);
+    CHECK(state("j1") == "cancelled");
+    takeOver();
+    run(1s);
+    CHECK(state("j1") == "cancelled");
+    CHECK(startsOf("j1") == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a start without an answer is sent again under its number, and runs once")
+{
+    for (auto& [id, target] : targets)
+        target.loseStarts = 1;
+    submit("j1", { step(3) });
+    run(5s);
+    CHECK(state("j1") == "completed");
+    CHECK(startsOf("j1") == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a task of a target that refuses for want of room goes elsewhere")
+{
+    targets.at(TargetId("t1")).refuseStarts = OrderResult::NoRoom;
+    targets.at(TargetId("t2")).refuseStarts = OrderResult::Unhealthy;
+    submit("j1", { step(3) });
+    run(4s);
+    CHECK(state("j1") == "completed");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a job fails once a task has used up its attempts, not before")
+{
+    for (auto& [id, target] : targets)
+        target.failsAll = true;
+    submit("j1", { step(1) });
+    run(20s);
+    CHECK(state("j1") == "failed");
+    CHECK(startsOf("j1") == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "runs that stand still are stopped and their tasks go elsewhere")
+{
+    targets.at(TargetId("t1")).standsStill = true;
+    submit("j1", { step(3) });
+    run(15s);
+    CHECK(state("j1") == "completed");
+}
+
+TEST_CASE_FIXTURE(Fixture, "what a restarted target had is placed again at once")
+{
+    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+    submit("j1", { step(3) });
+    run(500ms);
+    restartTarget(targets.at(TargetId("t1")));
+    run(2500ms);
+    CHECK(running("j1") == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "capacity is kept while tasks are many")
+{
+    const std::vector<StepSpec> steps { step(30, 3000) };
+    specs[JobId("j1")] = steps;
+    submit("j1", steps);
+    run(10s);
+    CHECK(state("j1") == "completed");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a job that no target could hold is refused at once")
+{
+    submit("j1", { step(1, 20000) });
+    CHECK(answers[JobId("j1")] == JobAnswer::Kind::Refused);
+}
+
+TEST_CASE_FIXTURE(Fixture, "the members of a gang start together or not at all")
+{
+    StepSpec gang = step(6, 8000);
+    gang.gang = true;
+    StepSpec big = step(1, 16000);
+    lengthOf = [](const CellTaskKey& key) { return key.job == JobId("big") ? Duration(3s) : Duration(500ms); };
+    submit("big", { big });
+    run(200ms);
+    submit("j1", { gang });
+    run(1s);
+    CHECK(startsOf("j1") == 0);
+    run(5s);
+    CHECK(startsOf("j1") == 6);
+    CHECK(state("j1") == "completed");
+}
+
+TEST_CASE_FIXTURE(Fixture, "occurrences start at their times")
+{
+    CellJobSpec spec;
+    spec.id = JobId("j1");
+    spec.queue = QueueId("q");
+    spec.service = ServiceId("s");
+    spec.payload = "payload";
+    spec.steps = { step(1) };
+    spec.schedule.firstDue
+        = CalendarTime(std::chrono::duration_cast<std::chrono::milliseconds>((now + 1s).time_since_epoch()));
+    spec.schedule.interval = 1000ms;
+    spec.schedule.occurrences = 3;
+    owner->submit(std::move(spec), now, [](JobAnswer&&) {});
+    run(900ms);
+    CHECK(startsOf("j1") == 0);
+    run(1000ms);
+    CHECK(startsOf("j1") == 1);
+    run(5s);
+    CHECK(startsOf("j1") == 3);
+    CHECK(state("j1") == "completed");
+}
