--- a/src/cell_session.cpp
+++ b/src/cell_session.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds keepInterval { 500 }; ///< Three renewals may be lost before the lease is.
-    constexpr std::chrono::milliseconds leaseCallTimeout { 450 }; ///< One renewal is under way at a time.
+    constexpr int keepsPerLease = 3; ///< Two renewals in a row may be lost before the lease is.
+    constexpr std::chrono::milliseconds leaseCallTimeout { 320 }; ///< Below the pause between renewals; a slow store needs 240 ms.
+    constexpr std::chrono::milliseconds refusedFor { 40 }; ///< A process that restarts its listener would be back by then.
+    constexpr std::chrono::seconds suspectPause { 5 }; ///< Keeps two hosts that can't reach each other from taking turns.
     constexpr std::chrono::milliseconds callTimeout { 1000 }; ///< A slow store answers within a quarter of a second.
     constexpr std::chrono::milliseconds retryPause { 150 }; ///< Between calls to a store that refuses or is away.
     constexpr std::chrono::milliseconds longestRetryPause { 600 };
@@ -64,7 +66,8 @@
     }
     if (m_lease.value != 0 && m_synced && !m_memberShown && !m_memberOpen && !m_leaseOpen)
         showMember(now);
-    const bool free = !m_owner || (m_owner->host == m_config.self && m_owner->address == m_config.address);
+    const bool ownOldKey = m_owner && m_owner->host == m_config.self && m_owner->address == m_config.address;
+    const bool free = !m_owner || ownOldKey || m_owner->revision == m_dead;
     const bool mayClaim
         = m_synced && free && !owning() && m_eligible && m_memberShown && leaseFresh(now) && now >= m_abstainUntil;
     if (!mayClaim) {
@@ -231,21 +234,22 @@
 void CellSession::lose(const std::string& reason)
 {
     m_token = {};
+    m_suspectAfter = m_hooks.clock() + suspectPause;
     m_hooks.lost(reason);
 }
 
 void CellSession::grant(Time now)
 {
     m_leaseOpen = true;
-    m_hooks.call(StoreRequest(StoreLeaseGrant { leaseTtl }), leaseCallTimeout, [this, now](StoreReply&& reply) {
+    m_hooks.call(StoreRequest(StoreLeaseGrant { m_config.leaseTtl }), leaseCallTimeout, [this, now](StoreReply&& reply) {
         const Time at = m_hooks.clock();
         heard(reply, at);
         m_leaseOpen = false;
-        m_leaseRetryAt = at + (reply.status == StoreStatus::Ok ? keepInterval : retryPause);
+        m_leaseRetryAt = at + (reply.status == StoreStatus::Ok ? keepInterval() : retryPause);
         if (reply.status != StoreStatus::Ok)
             return;
         m_lease = reply.lease;
-        m_freshUntil = now + std::min<std::chrono::seconds>(leaseTtl, reply.ttl.count() ? reply.ttl : leaseTtl);
+        m_freshUntil = now + (reply.ttl.count() ? std::min(m_config.leaseTtl, reply.ttl) : m_config.leaseTtl);
         m_memberShown = false;
         LogLine(LogLevel::Info, "session_began").with("lease", m_lease);
         tick(at);
@@ -264,8 +268,8 @@
         if (lease != m_lease)
             return;
         if (reply.status == StoreStatus::Ok) {
-            m_freshUntil = std::max(m_freshUntil, now + leaseTtl);
-            m_leaseRetryAt = now + keepInterval;
+            m_freshUntil = std::max(m_freshUntil, now + m_config.leaseTtl);
+            m_leaseRetryAt = now + keepInterval();
         } else if (reply.status == StoreStatus::LeaseNotFound) {
             LogLine(LogLevel::Warning, "session_ended").with("lease", lease).with("reason", "the lease has run out");
             m_lease = {};
@@ -317,7 +321,7 @@
     record.set_node(m_config.self.value);
     record.set_address(m_config.address);
     StoreTxn txn;
-    if (m_owner) // Left by an earlier life of this process, which is certainly over.
+    if (m_owner) // Of a process that has ended; should it live after all, it is fenced.
         txn.compares.push_back({ StoreCompare::Kind::ModRevision, ownerKey(), m_owner->revision, {} });
     else
         txn.compares.push_back({ StoreCompare::Kind::Absent, ownerKey(), {}, {} });
@@ -344,6 +348,32 @@
     });
 }
 
+/** A connection to the owner was refused. Twice in a row tells that its process has ended. @param now Present time. */
+void CellSession::ownerRefused(Time now)
+{
+    if (!m_owner || owning() || m_dead == m_owner->revision || now < m_suspectAfter)
+        return;
+    if (m_refusedBy != m_owner->revision) {
+        m_refusedBy = m_owner->revision;
+        m_refusedAt = now;
+        return;
+    }
+    if (now - m_refusedAt < refusedFor)
+        return;
+    m_dead = m_owner->revision;
+    m_suspectAfter = now + suspectPause;
+    LogLine(LogLevel::Warning, "owner_process_ended")
+        .with("host", m_owner->host)
+        .with("token", m_owner->revision)
+        .with("refused_for_ms", toMs(now - m_refusedAt));
+    tick(now);
+}
+
+std::chrono::milliseconds CellSession::keepInterval() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_config.leaseTtl) / keepsPerLease;
+}
+
 /** Gives the cell up, so that another host can claim it at once. @param reason Why. @param now Present time. */
 void CellSession::resign(const std::string& reason, Time /*now*/)
 {
--- a/src/cell_session.h
+++ b/src/cell_session.h
@@ -20,6 +20,7 @@
     std::string operatorPrefix; ///< Keys that the operator writes.
     std::string ownPrefix; ///< Members and owner.
     std::string sequenceKey; ///< Written along with each claim.
+    std::chrono::seconds leaseTtl { 1 }; ///< Time after which a silent host counts as gone.
 };
 
 /** Another host, or this one, as its session wrote it. */
@@ -53,14 +54,13 @@
  */
 class CellSession {
 public:
-    static constexpr std::chrono::seconds leaseTtl { 2 }; ///< Twice the shortest that the store grants.
-
     CellSession(CellSessionConfig config, CellSessionHooks hooks);
     void tick(Time now);
     std::optional<Time> wakeAt() const { return m_wakeAt; }
     void setEligible(bool eligible) { m_eligible = eligible; }
     void abstain(Time until) { m_abstainUntil = until; }
     void resign(const std::string& reason, Time now);
+    void ownerRefused(Time now);
 
     bool synced() const { return m_synced; }
     bool owning() const { return m_token.value != 0; }
@@ -84,6 +84,7 @@
     void lose(const std::string& reason);
     void heard(const StoreReply& reply, Time now);
     std::chrono::milliseconds claimDelay() const;
+    std::chrono::milliseconds keepInterval() const;
     std::string ownerKey() const { return m_config.ownPrefix + "owner"; }
     std::string memberKey() const { return m_config.ownPrefix + "node/" + m_config.self.value; }
 
@@ -120,6 +121,10 @@
     std::optional<CellOwnerInfo> m_owner;
     Revision m_token; ///< Of the own claim in force; 0 if this host is not the owner.
     bool m_claimOpen = false;
+    Revision m_refusedBy; ///< Owner whose address refused a connection.
+    Time m_refusedAt {}; ///< When it first did.
+    Revision m_dead; ///< Owner whose process has ended, although its lease still runs.
+    Time m_suspectAfter {}; ///< No owner is taken for dead before this time.
     std::optional<Time> m_claimAt;
 };
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <mutex>
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -245,6 +246,9 @@
     // The end of a body that only the closing of the connection marks can't be told from a cut.
     const bool framed = length >= 0 || result.header("transfer-encoding").has_value() || result.status == 204;
     result.complete = code == CURLE_OK && framed && result.status >= 200;
+    long systemError = 0;
+    curl_easy_getinfo(owned->easy, CURLINFO_OS_ERRNO, &systemError);
+    result.refused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
     if (!result.complete) {
         result.detail = owned->error[0] != '\0' ? owned->error.data() : curl_easy_strerror(code);
         if (code == CURLE_OK)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -31,6 +31,7 @@
 struct HttpResult {
     bool sent = false; ///< A byte of the request may have reached the server.
     bool complete = false; ///< The whole answer is there.
+    bool refused = false; ///< Nothing listens at the address: the process there has ended.
     long status = 0; ///< HTTP status, 0 if there was none.
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers; ///< Names in lower case.
