Change: an owner whose address refuses connections is replaced at once

Cause: the lease of a killed owner has to run out before the cell is claimed, although its host already refuses connections.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -343,10 +343,18 @@
         if (result.complete && result.status == 200 && answer.ParseFromString(result.body))
             takeOwnerAnswer(pending, answer);
         else
-            retryPending(pending, "the owner did not answer", result.sent);
+            ownerSilent(pending, result);
     });
 }
 
+void EntryNode::ownerSilent(const std::shared_ptr<Pending>& pending, const HttpResult& result)
+{
+    if (result.refused)
+        m_session.ownerRefused(m_hooks.clock());
+    retryPending(
+        pending, result.refused ? "the owner's process has ended" : "the owner did not answer", result.sent);
+}
+
 void EntryNode::takeOwnerAnswer(const std::shared_ptr<Pending>& pending, const proto::OwnerAnswer& answer)
 {
     CallerResult result;
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -113,6 +113,7 @@
     void sendAdvice(const HostId& host, const AdviceQuestion& question, std::uint64_t ticket);
     void tryOnce(const std::shared_ptr<Pending>& pending);
     void finishPending(const std::shared_ptr<Pending>& pending, CallerResult&& result);
+    void ownerSilent(const std::shared_ptr<Pending>& pending, const HttpResult& result);
     void takeOwnerAnswer(const std::shared_ptr<Pending>& pending, const proto::OwnerAnswer& answer);
     void retryPending(const std::shared_ptr<Pending>& pending, const char* reason, bool sent);
     void readStateFromStore(const std::shared_ptr<Pending>& pending);
