Change: submissions are refused at once while records can't be saved, and unsent ones are withdrawn

Cause: in an outage of the store submissions were held until their callers' deadline and answered 504, after which their callers can't ask again.

--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -75,9 +75,11 @@
 
     // Saving.
     bool dirty = false; ///< Changed since its record was last written.
+    bool writing = false; ///< Its record is on the way to the store.
     bool specStored = false;
     bool specRemoved = false;
     std::vector<std::function<void(bool saved)>> onSaved; ///< Run when the present state is in the store.
+    std::vector<std::function<void(bool saved)>> onWritten; ///< Run when the record on the way is in the store.
 
     std::uint32_t occurrenceCount() const { return spec.schedule.occurrences ? spec.schedule.occurrences : 1; }
     bool timed() const { return spec.schedule.occurrences > 0; }
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -14,6 +14,7 @@
     constexpr std::size_t advisedTargets = 30; ///< Targets that an objective's call for advice is reckoned with.
     constexpr std::size_t writesPerJob = 2; ///< Record, and specification written or removed.
     constexpr std::size_t removalsPerBatch = 8; ///< Old records removed along with others.
+    constexpr std::chrono::milliseconds stalledRetry { 1000 }; ///< Outages of the store last seconds; callers wait as long.
     constexpr std::chrono::seconds neverRunnableRetry { 30 }; ///< Targets of another size come within minutes, if ever.
 
 } // namespace
@@ -48,9 +49,14 @@
         for (const auto& effect : std::exchange(job->onSaved, {}))
             effect(false);
     }
+    for (auto& [id, replies] : std::exchange(m_submitters, {})) {
+        for (const JobReply& reply : replies)
+            reply({ JobAnswer::Kind::Unknown, {}, "the owner changed before the job was stored" });
+    }
     m_jobs.clear();
     m_open.clear();
     m_dirty.clear();
+    m_writing.clear();
     m_removals.clear();
     m_targets.clear();
     m_wakeAt.reset();
@@ -124,9 +130,13 @@
             reply({ JobAnswer::Kind::Ok, {}, "already accepted" });
             return;
         }
-        known->onSaved.push_back([reply = std::move(reply)](bool saved) {
-            reply({ saved ? JobAnswer::Kind::Ok : JobAnswer::Kind::Unknown, {}, "stored with an earlier submission" });
-        });
+        m_submitters[spec.id].push_back(std::move(reply));
+        return;
+    }
+    if (m_storeStalled) {
+        m_refused.add();
+        LogLine(LogLevel::Info, "job_refused").with("job", spec.id).with("reason", "the store does not answer");
+        reply({ JobAnswer::Kind::Refused, stalledRetry, "the store does not answer" });
         return;
     }
     if (const auto reason = refusalFor(spec)) {
@@ -147,14 +157,7 @@
         .with("steps", job.spec.steps.size())
         .with("config", m_config.version);
     activate(job, now);
-    runWhenSaved(job, [this, id = job.spec.id, now, reply = std::move(reply)](bool saved) {
-        if (saved) {
-            m_accepted.add();
-            m_saveSeconds.record(m_now - now);
-        }
-        LogLine(LogLevel::Info, "job_stored").with("job", id).with("saved", saved);
-        reply({ saved ? JobAnswer::Kind::Ok : JobAnswer::Kind::Unknown, {}, "the owner changed before it was stored" });
-    });
+    m_submitters[job.spec.id].push_back(std::move(reply));
     markDirty(job, now, saveSoon);
     m_dispatchDue = true;
     wake(now);
@@ -209,19 +212,9 @@
     }
 }
 
-/** Ends a job: nothing of it is started any more, and what runs is stopped. */
-void CellOwner::finish(CellJob& job, JobState state, Time now)
+/** Takes all tasks of a job off their targets. */
+void CellOwner::releaseTasks(CellJob& job, const char* reason, Time now)
 {
-    job.state = state;
-    job.finishedAt = now;
-    std::erase(m_open, &job);
-    m_openJobs.set(static_cast<std::int64_t>(m_open.size()));
-    LogLine(LogLevel::Info, "job_ended")
-        .with("job", job.spec.id)
-        .with("queue", job.spec.queue)
-        .with("state", jobStateName(state))
-        .with("age_ms", toMs(now - job.submittedAt))
-        .with("objective_ms", job.objective.count());
     for (auto& [number, occurrence] : job.occurrences) {
         for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
             auto& tasks = occurrence.steps[s].tasks;
@@ -236,11 +229,27 @@
                 if (it->second.phase == RunPhase::Recording)
                     target->release(key); // Nothing was ordered yet.
                 else
-                    beginStop(*target, key, it->second, jobStateName(state), now);
+                    beginStop(*target, key, it->second, reason, now);
                 tasks[i].target = nullptr;
             }
         }
     }
+}
+
+/** Ends a job: nothing of it is started any more, and what runs is stopped. */
+void CellOwner::finish(CellJob& job, JobState state, Time now)
+{
+    job.state = state;
+    job.finishedAt = now;
+    std::erase(m_open, &job);
+    m_openJobs.set(static_cast<std::int64_t>(m_open.size()));
+    LogLine(LogLevel::Info, "job_ended")
+        .with("job", job.spec.id)
+        .with("queue", job.spec.queue)
+        .with("state", jobStateName(state))
+        .with("age_ms", toMs(now - job.submittedAt))
+        .with("objective_ms", job.objective.count());
+    releaseTasks(job, jobStateName(state), now);
     runWhenSaved(job, [&job](bool saved) {
         if (saved)
             job.shownState = job.state;
@@ -263,7 +272,7 @@
         reply({ JobAnswer::Kind::Gone, {}, "no such job" });
         return;
     }
-    if (isFinal(job->state) && !job->dirty && job->onSaved.empty()) {
+    if (isFinal(job->state) && !job->dirty && !job->writing) {
         reply({ JobAnswer::Kind::Ok, {}, "already ended" });
         return;
     }
@@ -315,37 +324,101 @@
     m_hooks.flush(m_now + saveSoon);
 }
 
-/** Takes the records that wait to be written. @param limit Most writes. @return Writes and what follows them. */
-RecordBatch CellOwner::collect(std::size_t limit)
+/** Takes the records that wait to be written. @param limit Most writes. @return Writes; empty if nothing waits. */
+std::vector<StoreWrite> CellOwner::collect(std::size_t limit)
 {
-    RecordBatch batch;
+    std::vector<StoreWrite> writes;
     std::size_t taken = 0;
-    for (; taken < m_dirty.size() && batch.writes.size() + writesPerJob <= limit; ++taken) {
+    for (; taken < m_dirty.size() && writes.size() + writesPerJob <= limit; ++taken) {
         CellJob& job = *m_dirty[taken];
         job.dirty = false;
+        job.writing = true;
+        job.onWritten = std::exchange(job.onSaved, {});
+        m_writing.push_back(&job);
         const std::string& id = job.spec.id.value;
-        batch.writes.push_back({ StoreWrite::Kind::Put, CellKeys::jobs + id, encodeJobRecord(job), {} });
-        if (!job.specStored) {
-            batch.writes.push_back({ StoreWrite::Kind::Put, CellKeys::specs + id, encodeJobSpec(job.spec), {} });
-            job.specStored = true;
-        } else if (isFinal(job.state) && !job.specRemoved) {
-            batch.writes.push_back({ StoreWrite::Kind::Delete, CellKeys::specs + id, {}, {} });
-            job.specRemoved = true;
-            job.spec.payload.clear();
-            job.spec.payload.shrink_to_fit();
-        }
-        batch.effects.push_back([&job](bool saved) { job.stored |= saved; });
-        for (auto& effect : std::exchange(job.onSaved, {}))
-            batch.effects.push_back(std::move(effect));
+        writes.push_back({ StoreWrite::Kind::Put, CellKeys::jobs + id, encodeJobRecord(job), {} });
+        if (!job.specStored)
+            writes.push_back({ StoreWrite::Kind::Put, CellKeys::specs + id, encodeJobSpec(job.spec), {} });
+        else if (isFinal(job.state) && !job.specRemoved)
+            writes.push_back({ StoreWrite::Kind::Delete, CellKeys::specs + id, {}, {} });
     }
     m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
-    for (std::size_t i = 0; i < removalsPerBatch && !m_removals.empty() && batch.writes.size() < limit; ++i) {
-        batch.writes.push_back({ StoreWrite::Kind::Delete, std::move(m_removals.back()), {}, {} });
+    for (std::size_t i = 0; i < removalsPerBatch && !m_removals.empty() && writes.size() < limit; ++i) {
+        writes.push_back({ StoreWrite::Kind::Delete, std::move(m_removals.back()), {}, {} });
         m_removals.pop_back();
     }
     if (!m_dirty.empty())
         m_hooks.flush(m_now);
-    return batch;
+    return writes;
+}
+
+/**
+ * What became of the records taken last. What was not written waits again.
+ * @param outcome Outcome.
+ * @param now Present time.
+ */
+void CellOwner::batchDecided(BatchOutcome outcome, Time now)
+{
+    m_now = now;
+    for (CellJob* job : std::exchange(m_writing, {})) {
+        job->writing = false;
+        if (outcome == BatchOutcome::NotSaved) {
+            job->onSaved.insert(job->onSaved.begin(), std::make_move_iterator(job->onWritten.begin()),
+                std::make_move_iterator(job->onWritten.end()));
+            job->onWritten.clear();
+            if (!std::exchange(job->dirty, true))
+                m_dirty.push_back(job);
+            continue;
+        }
+        const bool saved = outcome == BatchOutcome::Saved;
+        if (saved) {
+            if (!std::exchange(job->specStored, true)) {
+                m_accepted.add();
+                m_saveSeconds.record(now - job->submittedAt);
+            } else if (isFinal(job->state) && !job->dirty) {
+                job->specRemoved = true;
+                job->spec.payload = {};
+            }
+            job->stored = true;
+        }
+        for (const auto& effect : std::exchange(job->onWritten, {}))
+            effect(saved);
+        if (auto submitters = m_submitters.extract(job->spec.id); saved && !submitters.empty()) {
+            LogLine(LogLevel::Info, "job_stored").with("job", job->spec.id);
+            for (const JobReply& reply : submitters.mapped())
+                reply({ JobAnswer::Kind::Ok, {}, "stored" });
+        } else if (!submitters.empty()) {
+            m_submitters.insert(std::move(submitters));
+        }
+    }
+}
+
+/** Refuses the submissions whose jobs were never sent to the store: they have not run, and their callers may go on. */
+void CellOwner::withdrawUnsaved(Time now)
+{
+    std::vector<CellJob*> unsaved;
+    std::copy_if(m_dirty.begin(), m_dirty.end(), std::back_inserter(unsaved),
+        [](const CellJob* job) { return !job->stored && !job->writing; });
+    for (CellJob* job : unsaved) {
+        const JobId id = job->spec.id;
+        LogLine(LogLevel::Info, "job_withdrawn")
+            .with("job", id)
+            .with("age_ms", toMs(now - job->submittedAt))
+            .with("reason", "the store does not answer");
+        m_refused.add();
+        releaseTasks(*job, "withdrawn", now);
+        for (const auto& effect : std::exchange(job->onSaved, {}))
+            effect(false);
+        std::erase(m_dirty, job);
+        std::erase(m_open, job);
+        m_openJobs.set(static_cast<std::int64_t>(m_open.size()));
+        const auto submitters = m_submitters.extract(id);
+        m_jobs.erase(id);
+        if (submitters.empty())
+            continue;
+        for (const JobReply& reply : submitters.mapped())
+            reply({ JobAnswer::Kind::Refused, stalledRetry, "the store does not answer" });
+    }
 }
 
 /** Forgets jobs whose state need not be shown any longer. */
@@ -358,7 +431,7 @@
     const auto kept = m_bounds.statusKept + m_bounds.statusKept / 4;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const CellJob& job = *it->second;
-        if (!isFinal(job.state) || job.dirty || !job.onSaved.empty() || now - job.finishedAt < kept) {
+        if (!isFinal(job.state) || job.dirty || job.writing || !job.onSaved.empty() || now - job.finishedAt < kept) {
             ++it;
             continue;
         }
@@ -379,6 +452,8 @@
         return;
     m_now = now;
     m_wakeAt.reset();
+    if (m_storeStalled)
+        withdrawUnsaved(now);
     if (now - m_sweptAt >= sweepInterval) {
         m_sweptAt = now;
         for (auto it = m_targets.begin(); it != m_targets.end();) {
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -121,7 +121,9 @@
         const TargetId& target, const LookOrder& order, const OrderAnswer& answer, const RunReport& report, Time now);
     void onAdvice(const AdviceQuestion& question, const AdviceReply& reply, Time now);
 
-    RecordBatch collect(std::size_t limit);
+    std::vector<StoreWrite> collect(std::size_t limit);
+    void batchDecided(BatchOutcome outcome, Time now);
+    void setStoreStalled(bool stalled) { m_storeStalled = stalled; }
     std::optional<Time> wakeAt() const { return m_wakeAt; }
     void tick(Time now);
     std::string statusText(Time now) const;
@@ -139,6 +141,8 @@
     // Records.
     void markDirty(CellJob& job, Time now, std::chrono::milliseconds within);
     void runWhenSaved(CellJob& job, std::function<void(bool)>&& effect);
+    void withdrawUnsaved(Time now);
+    void releaseTasks(CellJob& job, const char* reason, Time now);
 
     // Jobs.
     CellJob* find(const JobId& id) const;
@@ -199,6 +203,9 @@
     std::unordered_map<JobId, std::unique_ptr<CellJob>> m_jobs;
     std::vector<CellJob*> m_open; ///< Jobs that have not ended.
     std::vector<CellJob*> m_dirty;
+    std::vector<CellJob*> m_writing; ///< Jobs of the batch that is on the way to the store.
+    std::map<JobId, std::vector<JobReply>> m_submitters; ///< Submissions of jobs that are not stored yet.
+    bool m_storeStalled = false; ///< Records can't be saved at present.
     std::vector<std::string> m_removals; ///< Keys of records that are no longer shown.
     std::map<TargetId, std::unique_ptr<CellTarget>> m_targets;
     std::map<QueueId, double> m_allowedShare; ///< Share of targets that the advisor allows, by queue.
--- a/src/cell_session.h
+++ b/src/cell_session.h
@@ -66,6 +66,7 @@
     bool owning() const { return m_token.value != 0; }
     bool leaseFresh(Time now) const { return m_lease.value != 0 && now < m_freshUntil; }
     bool reachesStore(Time now) const;
+    Time storeHeardAt() const { return m_heardAt; }
     const std::map<HostId, CellMember>& members() const { return m_members; }
     const std::optional<CellOwnerInfo>& owner() const { return m_owner; }
 
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -15,6 +15,7 @@
     constexpr std::chrono::milliseconds peerRetry { 60 }; ///< Knowledge of a new owner spreads within a round trip.
     constexpr std::chrono::milliseconds answerMargin { 150 }; ///< The answer has to reach the caller in time.
     constexpr std::chrono::milliseconds ownerPatience { 1000 }; ///< A submission waits this long for an owner.
+    constexpr std::chrono::milliseconds storeSilent { 700 }; ///< Two renewals of the lease without an answer.
     constexpr std::chrono::milliseconds retryAfterNoOwner { 1000 }; ///< A take-over takes one to three seconds.
     constexpr std::chrono::milliseconds pingInterval { 700 };
     constexpr std::chrono::milliseconds pingTimeout { 600 };
@@ -121,6 +122,7 @@
         });
     };
     hooks.collect = [this](std::size_t limit) { return m_owner.collect(limit); };
+    hooks.decided = [this](BatchOutcome outcome) { m_owner.batchDecided(outcome, m_hooks.clock()); };
     hooks.ownershipLost = [this](const std::string& reason) { m_session.resign(reason, m_hooks.clock()); };
     return hooks;
 }
@@ -389,7 +391,7 @@
     pending->unsure |= sent;
     const bool submit = pending->request.action == CallerAction::Submit;
     const Time giveUpAt = submit && !pending->unsure
-        ? std::min(pending->deadline(), pending->request.receivedAt + ownerPatience)
+        ? std::min(pending->deadline(), pending->request.receivedAt + patienceForOwner(now))
         : pending->deadline();
     if (now + peerRetry < giveUpAt) {
         m_retries.emplace_back(now + peerRetry, pending);
@@ -406,6 +408,12 @@
     finishPending(pending, std::move(result));
 }
 
+/** How long a submission waits for an owner. Without the store there can't be one. */
+std::chrono::milliseconds EntryNode::patienceForOwner(Time now) const
+{
+    return now - m_session.storeHeardAt() > storeSilent ? std::chrono::milliseconds(0) : ownerPatience;
+}
+
 /** While the owner can't be asked, the record tells the state that was stored last. */
 void EntryNode::readStateFromStore(const std::shared_ptr<Pending>& pending)
 {
@@ -611,6 +619,7 @@
     m_session.tick(now);
     if (m_session.owning()) {
         m_owner.setMayOrder(m_owner.active() && m_session.leaseFresh(now));
+        m_owner.setStoreStalled(m_log.stalled(m_session.storeHeardAt(), now));
         listTargets(now);
         checkPeers(now);
         m_owner.tick(now);
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -116,6 +116,7 @@
     void ownerSilent(const std::shared_ptr<Pending>& pending, const HttpResult& result);
     void takeOwnerAnswer(const std::shared_ptr<Pending>& pending, const proto::OwnerAnswer& answer);
     void retryPending(const std::shared_ptr<Pending>& pending, const char* reason, bool sent);
+    std::chrono::milliseconds patienceForOwner(Time now) const;
     void readStateFromStore(const std::shared_ptr<Pending>& pending);
     void serveOwnerCall(const proto::OwnerCall& call, std::function<void(const proto::OwnerAnswer&)> reply);
     void servePeerAdvice(ServedCall&& call, HttpListener::Reply reply);
--- a/src/record_log.cpp
+++ b/src/record_log.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds firstRetry { 20 }; ///< A refusal by the rate limit passes within one refill.
+    constexpr std::chrono::milliseconds stalledAfter { 350 }; ///< A slow store answers within a quarter of a second.
     constexpr std::chrono::milliseconds longestRetry { 320 }; ///< Keeps the calls to a store that is away few.
 
 } // namespace
@@ -38,16 +39,28 @@
     m_batchNumber = 0;
 }
 
-/** Stops writing; effects of what is under way learn that it is not known to be saved. */
+/** Stops writing. What is under way may or may not have been written. */
 void RecordLog::end()
 {
     m_open = false;
-    m_busy = false;
     m_inFlight = false;
     m_flushAt.reset();
     m_failures = 0;
-    for (const auto& effect : std::exchange(m_batch, {}).effects)
-        effect(false);
+    m_failedAt = {};
+    if (std::exchange(m_busy, false))
+        m_hooks.decided(BatchOutcome::Unknown);
+    m_batch.clear();
+}
+
+/**
+ * Whether records can't be saved at present.
+ * @param storeHeardAt Last answer of the store to any call of this host.
+ * @param now Present time.
+ * @return True if the transaction under way waits too long, or the last one failed and the store was not heard since.
+ */
+bool RecordLog::stalled(Time storeHeardAt, Time now) const
+{
+    return (m_inFlight && now - m_sentAt > stalledAfter) || (m_failedAt != Time {} && m_failedAt >= storeHeardAt);
 }
 
 /** Asks for the waiting records to be written by a time. @param at Time; an earlier request stays in force. */
@@ -73,26 +86,25 @@
     if (!m_busy) {
         m_flushAt.reset();
         m_batch = m_hooks.collect(maxWrites);
-        if (m_batch.writes.empty()) {
-            for (const auto& effect : std::exchange(m_batch, {}).effects)
-                effect(true);
+        if (m_batch.empty())
             return;
-        }
         ++m_batchNumber;
         m_busy = true;
+        m_unsure = false;
     }
     send(now);
 }
 
-void RecordLog::send(Time /*now*/)
+void RecordLog::send(Time now)
 {
     StoreTxn txn;
     txn.compares.push_back({ StoreCompare::Kind::ModRevision, m_ownerKey, m_ownerRevision, {} });
     txn.compares.push_back({ StoreCompare::Kind::ModRevision, m_sequenceKey, m_sequenceRevision, {} });
-    txn.writes = m_batch.writes;
+    txn.writes = m_batch;
     const std::string sequence = std::to_string(m_ownerRevision.value) + '.' + std::to_string(m_batchNumber);
     txn.writes.push_back({ StoreWrite::Kind::Put, m_sequenceKey, sequence, {} });
     m_inFlight = true;
+    m_sentAt = now;
     m_hooks.commit(std::move(txn));
 }
 
@@ -126,10 +138,13 @@
         m_sequenceRevision = *written;
         m_busy = false;
         m_failures = 0;
-        for (const auto& effect : std::exchange(m_batch, {}).effects)
-            effect(true);
+        m_failedAt = {};
+        m_batch.clear();
+        m_hooks.decided(BatchOutcome::Saved);
         return;
     }
+    m_unsure |= reply.status == StoreStatus::Lost;
+    m_failedAt = now;
     const auto pause = std::min(longestRetry, firstRetry * (1 << std::min(m_failures, 8)));
     if (m_failures++ == 0)
         LogLine(LogLevel::Warning, "records_not_saved")
@@ -137,6 +152,13 @@
             .with("answer", reply.status == StoreStatus::Lost ? "none" : "refused")
             .with("retry_in_ms", pause.count());
     m_retryAt = now + pause;
+    if (!m_unsure) {
+        // The records may have changed by the next try.
+        m_busy = false;
+        m_batch.clear();
+        m_hooks.decided(BatchOutcome::NotSaved);
+        requestFlush(m_retryAt);
+    }
 }
 
 } // namespace sp
--- a/src/record_log.h
+++ b/src/record_log.h
@@ -10,16 +10,18 @@
 
 namespace sp {
 
-/** Writes that belong together, and what follows once they are in the store. */
-struct RecordBatch {
-    std::vector<StoreWrite> writes;
-    std::vector<std::function<void(bool saved)>> effects;
+/** What became of a batch of records. */
+enum class BatchOutcome : std::uint8_t {
+    Saved,
+    NotSaved, ///< Certainly not written.
+    Unknown, ///< The ownership ended before the store answered.
 };
 
 /** What the log needs from its surroundings. */
 struct RecordLogHooks {
     std::function<void(StoreTxn&& txn)> commit; ///< Sends a transaction; its answer goes to RecordLog::answered.
-    std::function<RecordBatch(std::size_t limit)> collect; ///< Takes the writes that wait, at most as many as given.
+    std::function<std::vector<StoreWrite>(std::size_t limit)> collect; ///< Takes the writes that wait, up to a limit.
+    std::function<void(BatchOutcome outcome)> decided; ///< What became of the writes taken last.
     std::function<void(const std::string& reason)> ownershipLost;
 };
 
@@ -38,7 +40,7 @@
     std::optional<Time> wakeAt() const;
     void tick(Time now);
     void answered(const StoreReply& reply, Time now);
-    bool busy() const { return m_busy; }
+    bool stalled(Time storeHeardAt, Time now) const;
 
 private:
     void send(Time now);
@@ -50,9 +52,12 @@
     Revision m_ownerRevision;
     Revision m_sequenceRevision;
     std::uint64_t m_batchNumber = 0;
-    RecordBatch m_batch; ///< The one under way.
+    std::vector<StoreWrite> m_batch; ///< The one under way.
     bool m_busy = false; ///< A batch is not decided yet.
     bool m_inFlight = false; ///< Its transaction has no answer yet.
+    bool m_unsure = false; ///< A transaction of the batch had no answer; it may have been carried out.
+    Time m_sentAt {};
+    Time m_failedAt {}; ///< Last transaction that was refused or had no answer; unset after a success.
     Time m_retryAt {};
     int m_failures = 0;
     std::optional<Time> m_flushAt;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -60,6 +60,8 @@
     std::map<std::string, StoreKeyValue> store;
     std::uint64_t revision = 100;
     bool storeUp = true;
+    bool storeRefuses = false; ///< While it is down it says so, so that nothing is uncertain.
+    Time storeHeardAt {}; ///< Last answer of the store.
     int loseStoreAnswers = 0; ///< So many transactions are carried out without an answer.
     std::map<TargetId, WorldTarget> targets;
     std::vector<WorldStart> starts;
@@ -108,11 +110,14 @@
     void takeOver()
     {
         ++generation;
+        if (log)
+            log->end();
         log.reset();
         owner.reset();
         RecordLogHooks hooks;
         hooks.commit = [this](StoreTxn&& txn) { commit(std::move(txn)); };
         hooks.collect = [this](std::size_t limit) { return owner->collect(limit); };
+        hooks.decided = [this](BatchOutcome outcome) { owner->batchDecided(outcome, now); };
         hooks.ownershipLost = [this](const std::string&) { ++superseded; };
         log = std::make_unique<RecordLog>("own/owner", CellKeys::sequence, std::move(hooks));
         owner = std::make_unique<CellOwner>(bounds, metrics, ownerHooks());
@@ -190,6 +195,7 @@
                     m_listAt = now + 700ms;
                     list();
                 }
+                owner->setStoreStalled(log->stalled(storeHeardAt, now));
                 owner->tick(now);
                 log->tick(now);
             }
@@ -271,10 +277,11 @@
         answer(4ms, [this, txn = std::move(txn)] {
             StoreReply reply;
             if (!storeUp) {
-                reply.status = StoreStatus::Lost;
+                reply.status = storeRefuses ? StoreStatus::Refused : StoreStatus::Lost;
                 log->answered(reply, now);
                 return;
             }
+            storeHeardAt = now;
             bool holds = true;
             for (const StoreCompare& compare : txn.compares) {
                 const auto it = store.find(compare.key);
--- a/tests/test_cell_owner.cpp
+++ b/tests/test_cell_owner.cpp
@@ -63,6 +63,27 @@
     CHECK(startsOf("j1") == 3);
 }
 
+TEST_CASE_FIXTURE(Fixture, "submissions are refused at once while the store refuses, and taken again when it is back")
+{
+    storeUp = false;
+    storeRefuses = true;
+    submit("j1", { step(3) });
+    run(50ms);
+    CHECK(answers[JobId("j1")] == JobAnswer::Kind::Refused); // Never written, so it is true.
+    submit("j2", { step(3) });
+    CHECK(answers[JobId("j2")] == JobAnswer::Kind::Refused);
+    run(1s);
+    storeUp = true;
+    storeHeardAt = now; // Another call of the host was answered.
+    run(20ms);
+    submit("j1", { step(3) });
+    run(1s);
+    CHECK(answers[JobId("j1")] == JobAnswer::Kind::Ok);
+    CHECK(startsOf("j1") == 3);
+    CHECK(startsOf("j2") == 0);
+    CHECK(state("j2") == "gone");
+}
+
 TEST_CASE_FIXTURE(Fixture, "a transaction whose answer is lost is not taken for a loss of ownership")
 {
     loseStoreAnswers = 1;
