--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -12,7 +12,6 @@
     constexpr int holdPercent = 60; ///< Share of the longest lease: runs on a silent target are taken for ended sooner.
     constexpr std::chrono::milliseconds clockMargin { 300 }; ///< Answers in flight and rounding of clock readings.
     constexpr std::chrono::milliseconds saveLazily { 400 }; ///< For ends that only their target waits for.
-    constexpr std::chrono::milliseconds saveSoon { 4 }; ///< Lets records of one moment share a transaction.
     constexpr std::chrono::milliseconds lookWait { 1500 }; ///< Renews a lease several times before it runs out.
     constexpr std::chrono::milliseconds lookPause {
         120
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -49,7 +49,6 @@
 EntryNode::EntryNode(EntryNodeConfig config, Metrics& metrics, EntryNodeHooks hooks)
     : m_settings(std::move(config))
     , m_hooks(std::move(hooks))
-    , m_metrics(metrics)
     , m_log(m_settings.session.ownPrefix + "owner", CellKeys::sequence, logHooks())
     , m_owner(m_settings.bounds, metrics, ownerHooks())
     , m_session(m_settings.session, sessionHooks())
@@ -444,7 +443,8 @@
 }
 
 /** Answers a request as the owner. */
-void EntryNode::serveOwnerCall(const proto::OwnerCall& call, std::function<void(const proto::OwnerAnswer&)> reply)
+void EntryNode::serveOwnerCall(
+    const proto::OwnerCall& call, const std::function<void(const proto::OwnerAnswer&)>& reply)
 {
     const Time now = m_hooks.clock();
     proto::OwnerAnswer answer;
@@ -502,7 +502,7 @@
         return;
     }
     if (call.path == advicePath) {
-        servePeerAdvice(std::move(call), std::move(reply));
+        servePeerAdvice(call, std::move(reply));
         return;
     }
     proto::OwnerCall message;
@@ -516,7 +516,7 @@
     });
 }
 
-void EntryNode::servePeerAdvice(ServedCall&& call, HttpListener::Reply reply)
+void EntryNode::servePeerAdvice(const ServedCall& call, HttpListener::Reply reply)
 {
     proto::AdviceCall message;
     if (!message.ParseFromString(call.body)) {
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -118,13 +118,12 @@
     void retryPending(const std::shared_ptr<Pending>& pending, const char* reason, bool sent);
     std::chrono::milliseconds patienceForOwner(Time now) const;
     void readStateFromStore(const std::shared_ptr<Pending>& pending);
-    void serveOwnerCall(const proto::OwnerCall& call, std::function<void(const proto::OwnerAnswer&)> reply);
-    void servePeerAdvice(ServedCall&& call, HttpListener::Reply reply);
+    void serveOwnerCall(const proto::OwnerCall& call, const std::function<void(const proto::OwnerAnswer&)>& reply);
+    void servePeerAdvice(const ServedCall& call, HttpListener::Reply reply);
     void checkPeers(Time now);
 
     const EntryNodeConfig m_settings;
     const EntryNodeHooks m_hooks;
-    Metrics& m_metrics;
     std::optional<CellConfig> m_config;
     RecordLog m_log;
     CellOwner m_owner;
