--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -19,7 +19,7 @@
     constexpr std::chrono::milliseconds guardedLookWait { 500 }; ///< A tail is a figure of the last half second.
     constexpr std::chrono::milliseconds lookRetry { 250 }; ///< After a look without an answer; doubles up to a second.
     constexpr std::chrono::milliseconds longestLookRetry { 1000 };
-    constexpr std::chrono::milliseconds orderRetry { 100 }; ///< After an order without an answer, times the tries.
+    constexpr std::chrono::milliseconds orderRetry { 50 }; ///< After an order without an answer, times the tries.
     constexpr int startTries = 3; ///< Then the run is stopped, so that the task can go elsewhere.
     constexpr std::chrono::milliseconds noRoomPause { 300 }; ///< The target knows of load that is not ours.
     constexpr std::chrono::milliseconds unhealthyPause { 1000 }; ///< Unhealthy targets seldom recover faster.
