--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -27,6 +27,7 @@
     }; ///< A former owner acts for at most this time after it lost the cell.
     std::chrono::milliseconds impact { 4000 }; ///< A tail over its target for this time is harm.
     std::chrono::milliseconds maxWait { 2000 }; ///< Longest time a look may wait for an end.
+    std::chrono::milliseconds drain { 2000 }; ///< Least time that a draining target stays, unless it says otherwise.
     std::chrono::milliseconds listSettled { 2000 }; ///< Entries lost in an outage are back after this time.
 };
 
@@ -178,6 +179,8 @@
     void checkStall(CellTarget& target, Time now);
     void guardTails(CellTarget& target, Time now);
     void sweepTarget(CellTarget& target, Time now);
+    void noteDraining(CellTarget& target, const TargetEntry& entry, Time now);
+    void evacuate(CellTarget& target, Time now);
     void dropLife(CellTarget& target, const char* reason, Time now);
 
     // Placing.
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -24,6 +24,7 @@
     constexpr std::chrono::milliseconds noRoomPause { 300 }; ///< The target knows of load that is not ours.
     constexpr std::chrono::milliseconds unhealthyPause { 1000 }; ///< Unhealthy targets seldom recover faster.
     constexpr std::chrono::milliseconds unreachablePause { 500 };
+    constexpr std::chrono::milliseconds evacuationMargin { 600 }; ///< The stop and the look that brings its checkpoint.
     constexpr std::chrono::milliseconds stallTime { 3000 }; ///< A sound task gains a percent well within this time.
 
 } // namespace
@@ -71,10 +72,7 @@
                 .with("target", entry.id)
                 .with("machine", entry.machine)
                 .with("draining", entry.draining);
-        if (entry.draining && !target.entry.draining) {
-            target.drainingSince = now;
-            LogLine(LogLevel::Info, "target_draining").with("target", entry.id);
-        }
+        noteDraining(target, entry, now);
         if (target.entry.bornMs != 0 && entry.bornMs > target.entry.bornMs)
             dropLife(target, "started again", now);
         target.entry = entry;
@@ -96,6 +94,39 @@
     wake(now);
 }
 
+/** Takes note of when a draining target may be gone. */
+void CellOwner::noteDraining(CellTarget& target, const TargetEntry& entry, Time now)
+{
+    if (!entry.draining) {
+        target.leavesAt = {};
+        return;
+    }
+    if (target.leavesAt != Time {})
+        return; // The first time is the safest; later ones are as old as the entry.
+    target.leavesAt = now + entry.leavesIn.value_or(m_bounds.drain);
+    LogLine(LogLevel::Info, "target_draining")
+        .with("target", entry.id)
+        .with("leaves_in_ms", toMs(target.leavesAt - now))
+        .with("runs", target.occupants.size());
+}
+
+/** Takes work that would be lost off a target that leaves, as late as its progress can still be saved. */
+void CellOwner::evacuate(CellTarget& target, Time now)
+{
+    if (target.leavesAt == Time {})
+        return;
+    std::vector<CellTaskKey> moved;
+    for (const auto& [key, occupant] : target.occupants) {
+        if (occupant.phase != RunPhase::Running)
+            continue;
+        const bool lastCall = now >= target.leavesAt - m_bounds.stopTimeout - evacuationMargin;
+        if (occupant.lasting || (occupant.checkpointing && lastCall))
+            moved.push_back(key);
+    }
+    for (const CellTaskKey& key : moved)
+        beginStop(target, key, target.occupants.at(key), "target leaves", now);
+}
+
 /** A life of a target is certainly over: all that ran there has ended. */
 void CellOwner::dropLife(CellTarget& target, const char* reason, Time now)
 {
@@ -209,6 +240,7 @@
     }
     if (!m_mayOrder || target.entry.address.empty())
         return;
+    evacuate(target, now);
     for (auto& [key, occupant] : target.occupants) {
         if (occupant.orderOpen || now < occupant.retryAt)
             continue;
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -49,7 +49,7 @@
     TargetEntry entry;
     bool listed = false; ///< In the latest list of targets.
     Time missingSince {}; ///< When it was first missing from the list, unless listed.
-    Time drainingSince {}; ///< When it was first listed as draining; unset otherwise.
+    Time leavesAt {}; ///< Earliest time at which a draining target may be gone; unset otherwise.
     Resources used;
     std::unordered_map<CellTaskKey, Occupant> occupants;
 
--- a/tests/test_cell_owner.cpp
+++ b/tests/test_cell_owner.cpp
@@ -241,6 +241,26 @@
     CHECK(running("j1") == 3);
 }
 
+TEST_CASE_FIXTURE(Fixture, "tasks that last move off a target that leaves, and short ones may end there")
+{
+    StepSpec lasting = step(3);
+    lasting.lasting = true;
+    lengthOf = [](const CellTaskKey& key) { return key.job == JobId("j1") ? Duration(0) : Duration(1200ms); };
+    submit("j1", { lasting });
+    submit("j2", { step(3) });
+    run(500ms);
+    WorldTarget& leaving = targets.at(TargetId("t1"));
+    REQUIRE(leaving.runs.size() == 2);
+    leaving.entry.draining = true;
+    run(1100ms);
+    CHECK(running("j1") == 3);
+    CHECK(std::none_of(leaving.runs.begin(), leaving.runs.end(),
+        [](const auto& entry) { return entry.first.job == JobId("j1"); }));
+    run(1s);
+    CHECK(state("j2") == "completed");
+    CHECK(startsOf("j2") == 3);
+}
+
 TEST_CASE_FIXTURE(Fixture, "capacity is kept while tasks are many")
 {
     const std::vector<StepSpec> steps { step(30, 3000) };
