Fix: runs of ended jobs that a new owner finds hold their capacity until they have stopped

The rest of the target now counts as taken until the run is gone. The test failed before the change.

--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -630,8 +630,11 @@
     Occupant occupant;
     occupant.run = row.run;
     occupant.phase = RunPhase::Running;
-    if (const CellJob* job = find(row.task.job); job && row.task.step < job->spec.steps.size())
+    const CellJob* job = find(row.task.job);
+    if (job && row.task.step < job->spec.steps.size())
         occupant.taken = job->spec.steps[row.task.step].reserved();
+    else // Its size went with the specification; until it is gone the rest of the target may be taken.
+        occupant.taken = target.room();
     target.occupy(row.task, occupant);
     beginStop(target, row.task, target.occupants.at(row.task), "not asked for", now);
 }
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -75,6 +75,7 @@
     CellConfig config;
     CellBounds bounds;
     int superseded = 0;
+    Duration stopsTake { 1ms }; ///< Time from a stop order to the end of the run.
 
     CellWorld()
     {
@@ -417,7 +418,12 @@
                     reply = { token < to.token ? OrderResult::Fenced : OrderResult::Done, clockOf(to) };
                     if (reply.result == OrderResult::Done) {
                         to.stopped.emplace(key, run);
-                        endRun(to, key, EndKind::Stopped);
+                        at(stopsTake, [this, id, key, run] {
+                            WorldTarget& stopping = targets.at(id);
+                            if (const auto it = stopping.runs.find(key);
+                                it != stopping.runs.end() && it->second.run == run)
+                                endRun(stopping, key, EndKind::Stopped);
+                        });
                     }
                 }
                 at(reply.result == OrderResult::Lost ? 500ms : 1ms, [this, id, key, run, reply, expected] {
--- a/tests/test_cell_owner.cpp
+++ b/tests/test_cell_owner.cpp
@@ -254,13 +254,31 @@
     leaving.entry.draining = true;
     run(1100ms);
     CHECK(running("j1") == 3);
-    CHECK(std::none_of(leaving.runs.begin(), leaving.runs.end(),
-        [](const auto& entry) { return entry.first.job == JobId("j1"); }));
+    CHECK(std::none_of(
+        leaving.runs.begin(), leaving.runs.end(), [](const auto& entry) { return entry.first.job == JobId("j1"); }));
     run(1s);
     CHECK(state("j2") == "completed");
     CHECK(startsOf("j2") == 3);
 }
 
+// Runs of a job whose specification was removed counted as nothing, and the target was filled beyond its capacity.
+TEST_CASE_FIXTURE(Fixture, "runs of ended jobs that a new owner finds hold their capacity until they have stopped")
+{
+    specs[JobId("j1")] = { step(3, 12000) };
+    specs[JobId("j2")] = { step(3, 12000) };
+    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+    stopsTake = 600ms;
+    submit("j1", specs[JobId("j1")]);
+    run(500ms);
+    cancel("j1");
+    run(50ms);
+    REQUIRE(running("j1") == 3);
+    takeOver();
+    submit("j2", specs[JobId("j2")]);
+    run(2s);
+    CHECK(running("j2") == 3);
+}
+
 TEST_CASE_FIXTURE(Fixture, "capacity is kept while tasks are many")
 {
     const std::vector<StepSpec> steps { step(30, 3000) };
