--- a/src/cell_session.cpp
+++ b/src/cell_session.cpp
@@ -21,7 +21,7 @@
     constexpr std::chrono::milliseconds claimStep {
         40
     }; ///< Between claims of hosts in their order; several round trips.
-    constexpr std::chrono::milliseconds storeLostAfter { 2500 }; ///< A watch answers at least this often.
+    constexpr std::chrono::milliseconds storeLostAfter { 1200 }; ///< Three renewals of the lease without an answer.
 
 } // namespace
 
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -102,7 +102,7 @@
         if (answer.retryAfter)
             MHD_add_response_header(
                 response, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(answer.retryAfter->count()).c_str());
-        if (listener.m_closing)
+        if (listener.m_closing || answer.close)
             MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
         const MHD_Result queued = MHD_queue_response(call.connection, static_cast<unsigned>(answer.status), response);
         MHD_destroy_response(response);
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -30,7 +30,8 @@
     int status = 200;
     std::string body;
     std::string contentType = "application/json";
-    std::optional<std::chrono::seconds> retryAfter;
+    std::optional<std::chrono::seconds> retryAfter {};
+    bool close = false; ///< The client should come back over a new connection, which may lead to another host.
 };
 
 /** What a listener serves. */
