Change: options of a step come from its allowed targets, and idle questions pause

Cause: each decision looked at all targets for each waiting step; half of the owner's time at 350 targets.

--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -15,6 +15,9 @@
         300
     }; ///< A start follows its decision by a store write and a call.
     constexpr std::chrono::milliseconds adviceRetry { 200 }; ///< After a question without an answer.
+    constexpr std::chrono::milliseconds adviceIdle {
+        40
+    }; ///< Between looks for targets to ask about, while all are full.
     constexpr std::size_t mostAdvised = 30; ///< Targets of one question; the objective is reckoned with as many.
     constexpr double adviceSurplus = 1.3; ///< Room asked for beyond the need, since others place meanwhile.
     constexpr double unknownAllowedShare = 0.5; ///< Assumed until a queue's advisor has answered.
@@ -155,18 +158,22 @@
     const QueueConfig* queue = queueOf(job);
     const auto sameStep = tasksByTarget(state);
     std::vector<PlacementOption> options;
-    for (const auto& [id, target] : m_targets) {
-        if (target->entry.service != service || !target->usable(now) || !mayEverRun(*target, step))
-            continue;
-        if (queue && queue->advisor) {
-            const auto ticket = state.advice.allowed.find(id);
-            if (ticket == state.advice.allowed.end() || ticket->second.validUntil < now + ticketMargin)
-                continue;
-        }
-        const auto same = sameStep.find(target.get());
-        PlacementOption option { target.get(), target->room(), same == sameStep.end() ? 0 : same->second };
+    const auto consider = [&](CellTarget& target) {
+        if (target.entry.service != service || !target.usable(now) || !mayEverRun(target, step))
+            return;
+        const auto same = sameStep.find(&target);
+        const PlacementOption option { &target, target.room(), same == sameStep.end() ? 0 : same->second };
         if (tasksThatFit(option, step) > 0)
             options.push_back(option);
+    };
+    if (queue && queue->advisor) {
+        for (const auto& [id, ticket] : state.advice.allowed) {
+            if (CellTarget* target = ticket.validUntil >= now + ticketMargin ? findTarget(id) : nullptr)
+                consider(*target);
+        }
+    } else {
+        for (const auto& [id, target] : m_targets)
+            consider(*target);
     }
     return options;
 }
@@ -332,17 +339,21 @@
         asked.push_back({ id, fits * (known != advice.allowed.end() ? 1.0 : std::max(share, leastAllowedShare)) });
     }
     // Targets that are surely allowed and those with the most room come first.
-    std::stable_sort(
-        asked.begin(), asked.end(), [](const Asked& a, const Asked& b) { return a.expected > b.expected; });
+    const std::size_t wanted = std::min(mostAdvised, asked.size());
+    std::partial_sort(asked.begin(), asked.begin() + static_cast<std::ptrdiff_t>(wanted), asked.end(),
+        [](const Asked& a, const Asked& b) { return std::tie(b.expected, a.id) < std::tie(a.expected, b.id); });
+    asked.resize(wanted);
     AdviceQuestion question { key, {}, {}, queue->priority, job.objectiveAt() };
     for (const Asked& target : asked) {
-        if (question.targets.size() >= mostAdvised || have >= need * adviceSurplus)
+        if (have >= need * adviceSurplus)
             break;
         have += std::min<double>(target.expected, need);
         question.targets.push_back(target.id);
     }
-    if (question.targets.empty())
+    if (question.targets.empty()) {
+        advice.notBefore = now + adviceIdle;
         return;
+    }
     question.callTime = queue->advisor->callTime(question.targets.size());
     ++advice.inFlight;
     m_questions.add();
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -64,6 +64,7 @@
         return;
     m_now = now;
     std::set<TargetId> listed;
+    std::map<MachineId, CellTarget*> lives; ///< Present life of each machine.
     for (const TargetEntry& entry : entries) {
         listed.insert(entry.id);
         CellTarget& target = targetFor(entry.id);
@@ -77,13 +78,16 @@
             dropLife(target, "started again", now);
         target.entry = entry;
         target.listed = true;
-        for (auto& [id, other] : m_targets) {
-            if (id != entry.id && !entry.machine.empty() && other->entry.machine == entry.machine
-                && other->entry.bornMs < entry.bornMs)
-                dropLife(*other, "its machine runs another life", now);
-        }
+        if (entry.machine.empty())
+            continue;
+        if (CellTarget*& life = lives[entry.machine]; !life || life->entry.bornMs < entry.bornMs)
+            life = &target;
     }
     for (auto& [id, target] : m_targets) {
+        const auto life = lives.find(target->entry.machine);
+        if (life != lives.end() && life->second != target.get() && target->entry.bornMs < life->second->entry.bornMs
+            && !target->occupants.empty())
+            dropLife(*target, "its machine runs another life", now);
         if (settled && target->listed && !listed.contains(id)) {
             target->listed = false;
             target->missingSince = now;
