--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -37,6 +37,7 @@
     std::optional<std::chrono::milliseconds> leaseUntil; ///< On the target's clock; unset if it is not known yet.
     std::uint64_t endsAcknowledged = 0; ///< Ends up to this number may be forgotten.
     std::chrono::milliseconds wait { 0 }; ///< The answer may wait this long for an end.
+    Time sentAt {}; ///< When it was sent; what was confirmed later may be missing in its answer.
 };
 
 /** Question which targets may run a step. */
@@ -181,6 +182,7 @@
     void sweepTarget(CellTarget& target, Time now);
     void noteDraining(CellTarget& target, const TargetEntry& entry, Time now);
     void evacuate(CellTarget& target, Time now);
+    void beginLife(CellTarget& target, Time now);
     void dropLife(CellTarget& target, const char* reason, Time now);
 
     // Placing.
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -295,7 +295,7 @@
         it->second.phase = RunPhase::Ordered;
         it->second.since = m_now;
         it->second.retryAt = m_now;
-        if (m_mayOrder)
+        if (m_mayOrder && found->reported)
             orderStart(*found, key, it->second, m_now);
     });
 }
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -75,7 +75,7 @@
                 .with("draining", entry.draining);
         noteDraining(target, entry, now);
         if (target.entry.bornMs != 0 && entry.bornMs > target.entry.bornMs)
-            dropLife(target, "started again", now);
+            beginLife(target, now);
         target.entry = entry;
         target.listed = true;
         if (entry.machine.empty())
@@ -131,27 +131,41 @@
         beginStop(target, key, target.occupants.at(key), "target leaves", now);
 }
 
-/** A life of a target is certainly over: all that ran there has ended. */
-void CellOwner::dropLife(CellTarget& target, const char* reason, Time now)
+/**
+ * A target has started again under its id: its clock and its list of ends begin anew. Its next report tells what it
+ * runs, since an order may have reached the new life before the owner knew of it.
+ */
+void CellOwner::beginLife(CellTarget& target, Time now)
 {
-    std::vector<CellTaskKey> lost;
-    for (const auto& [key, occupant] : target.occupants) {
-        if (occupant.phase != RunPhase::Recording && !(occupant.phase == RunPhase::Ordered && occupant.orderOpen))
-            lost.push_back(key);
-    }
-    for (const CellTaskKey& key : lost)
-        runGone(target, key, reason, now);
+    LogLine(LogLevel::Warning, "target_restarted").with("target", target.id()).with("runs", target.occupants.size());
     target.reported = false;
-    target.reportedBornMs = 0;
     target.endsSeen = 0;
     target.endsAcknowledged = 0;
     target.endsUnsaved.clear();
     target.clockSeenAt = {};
     target.clock = {};
     target.leaseSent = {};
+    target.lapsesBy = now + m_bounds.maxHold + clockMargin; // Lease times on the former clock mean the longest lease.
     target.badEnds = 0;
     target.quarantinedUntil = {};
+    target.lookOpen = false;
     target.nextLookAt = now;
+    for (auto& [key, occupant] : target.occupants) {
+        if (occupant.unsure) // The order may yet be carried out by the new life.
+            beginStop(target, key, occupant, "the target has started again", now);
+    }
+}
+
+/** A life of a target is certainly over, and another one has its machine: all that ran there has ended. */
+void CellOwner::dropLife(CellTarget& target, const char* reason, Time now)
+{
+    std::vector<CellTaskKey> lost;
+    for (const auto& [key, occupant] : target.occupants) {
+        if (occupant.phase != RunPhase::Recording && !(occupant.phase == RunPhase::Ordered && occupant.orderOpen))
+            lost.push_back(key);
+    }
+    for (const CellTaskKey& key : lost)
+        runGone(target, key, reason, now);
 }
 
 /** A run has certainly ended without an end that counts, or was never begun. */
@@ -204,6 +218,7 @@
 {
     LookOrder order;
     order.token = m_token;
+    order.sentAt = now;
     order.endsAcknowledged = target.endsSaved();
     // A silent target gets no longer lease, so that what runs there can be taken for ended once the last one is over.
     if (target.clockSeenAt != Time {} && !target.silent()) {
@@ -217,7 +232,6 @@
     if (target.reported && !target.occupants.empty() && !target.silent())
         order.wait = std::min(serving && filled ? guardedLookWait : lookWait, m_bounds.maxWait);
     target.lookOpen = true;
-    target.lookSentAt = now;
     m_looks.add();
     m_hooks.look(target, order);
 }
@@ -248,7 +262,8 @@
     for (auto& [key, occupant] : target.occupants) {
         if (occupant.orderOpen || now < occupant.retryAt)
             continue;
-        if (occupant.phase == RunPhase::Ordered && occupant.confirmedAt == Time {})
+        // Without a report the target's clock is not known, and so no end of the lease can be named.
+        if (occupant.phase == RunPhase::Ordered && occupant.confirmedAt == Time {} && target.reported)
             orderStart(target, key, occupant, now);
         else if (occupant.phase == RunPhase::Stopping && occupant.confirmedAt == Time {})
             orderStop(target, key, occupant, now);
@@ -476,11 +491,10 @@
         target->nextLookAt = now + std::min(longestLookRetry, lookRetry * target->unanswered);
         return;
     }
-    const Time sentAt = target->lookSentAt;
-    if (target->reportedBornMs != 0 && report.bornMs != 0 && report.bornMs != target->reportedBornMs) {
-        LogLine(LogLevel::Warning, "target_restarted").with("target", id).with("runs", target->occupants.size());
-        dropLife(*target, "the target has started again", now);
-    }
+    if (report.bornMs != 0 && report.bornMs < target->reportedBornMs)
+        return; // A late answer of a life that is over.
+    if (target->reportedBornMs != 0 && report.bornMs > target->reportedBornMs)
+        beginLife(*target, now);
     if (target->silent())
         LogLine(LogLevel::Info, "target_back").with("target", id);
     target->sawClock(report.clock, now);
@@ -496,7 +510,7 @@
             .with("ends", report.ended.size());
     }
     takeEnds(*target, report, now);
-    takeRuns(*target, report, sentAt, now);
+    takeRuns(*target, report, order.sentAt, now);
     checkStall(*target, now);
     guardTails(*target, now);
     target->nextLookAt = now + (report.ended.empty() ? std::chrono::milliseconds(0) : lookPause);
@@ -648,14 +662,17 @@
 {
     std::vector<CellTaskKey> stalled;
     for (const auto& [key, occupant] : target.occupants) {
+        const CellJob* job = find(key.job);
+        const bool gang = job && key.step < job->spec.steps.size() && job->spec.steps[key.step].gang;
         const bool exempt = occupant.fills || (occupant.lasting && occupant.percent >= 100);
-        if (occupant.phase == RunPhase::Running && !exempt && now - occupant.progressAt > stallTime)
+        // The members of a gang make no progress before all of them are there.
+        const auto limit = gang ? stallTime + m_bounds.gangTimeout : stallTime;
+        if (occupant.phase == RunPhase::Running && !exempt && now - occupant.progressAt > limit)
             stalled.push_back(key);
     }
     for (const CellTaskKey& key : stalled) {
         CellJob* job = find(key.job);
-        const bool gang = job && key.step < job->spec.steps.size() && job->spec.steps[key.step].gang;
-        if (TaskState* task = job && !gang ? job->task(key) : nullptr) {
+        if (TaskState* task = job ? job->task(key) : nullptr) {
             task->avoid.insert(target.id());
             beginStop(target, key, target.occupants.at(key), "stalled", now);
         }
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -63,7 +63,6 @@
     bool reported = false; ///< Has reported under the present token.
     std::int64_t reportedBornMs = 0;
     bool lookOpen = false;
-    Time lookSentAt {};
     Time nextLookAt {};
     Time heardAt {}; ///< Last answer of any kind.
     int unanswered = 0; ///< Calls without an answer since the last answer.
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -15,7 +15,6 @@
 
     constexpr std::size_t logRingLines = 65536; ///< At 20,000 decisions a second this bridges a stall of three seconds.
     constexpr int structuredBatchMs = 100; ///< Structured lines are written in batches, since each wake-up costs.
-    constexpr int structuredLinesPerBatch = 300; ///< Ordinary lines of a batch; bounds the volume to 3,000 a second.
     constexpr std::size_t structuredRingLines = 4096; ///< About 1 MB of lines that wait for a blocked reader.
 
     struct Line {
@@ -33,7 +32,8 @@
     }
 
     std::atomic<std::uint64_t> linesDropped { 0 };
-    std::atomic<int> structuredLeft { structuredLinesPerBatch }; ///< Ordinary lines that this batch still takes.
+    std::atomic<int> structuredPerBatch { 0 }; ///< Most ordinary lines of one batch.
+    std::atomic<int> structuredLeft { 0 }; ///< Ordinary lines that this batch still takes.
     std::atomic<bool> running { false };
     std::atomic<LogSink> sinkInUse { LogSink::StandardError };
     std::thread writer;
@@ -68,7 +68,7 @@
 
     void writeBatch(std::uint64_t& droppedBefore)
     {
-        structuredLeft = structuredLinesPerBatch;
+        structuredLeft = structuredPerBatch.load();
         std::string out;
         for (const Line& line : logRing().drain())
             appendStructured(out, line);
@@ -141,11 +141,14 @@
  * Starts the writing thread.
  * @param program Name of the program, kept by the caller.
  * @param sink Standard error for lines of text written by glog, standard output for structured lines in batches.
+ * @param linesPerSecond Most ordinary structured lines; more are dropped and counted.
  */
-void startLog(const char* program, LogSink sink)
+void startLog(const char* program, LogSink sink, int linesPerSecond)
 {
     sinkInUse = sink;
     if (sink == LogSink::StandardOutput) {
+        structuredPerBatch = linesPerSecond / (1000 / structuredBatchMs);
+        structuredLeft = structuredPerBatch.load();
         running = true;
         writer = std::thread(structuredLoop);
         return;
@@ -193,7 +196,8 @@
     if (!running.load(std::memory_order_relaxed))
         return;
     const bool overRate = level == LogLevel::Info && structuredLeft.fetch_sub(1, std::memory_order_relaxed) <= 0;
-    if (overRate || logRing().size() >= structuredRingLines
+    const std::size_t bound = std::max(structuredRingLines, static_cast<std::size_t>(structuredPerBatch.load()));
+    if (overRate || logRing().size() >= bound
         || !logRing().tryPush(Line { LogPart::Main, level, wallNow(), std::move(text), true }))
         linesDropped.fetch_add(1, std::memory_order_relaxed);
 }
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -25,7 +25,9 @@
 /** Where lines go. Hosts have no disks, so it is never a file. */
 enum class LogSink : std::uint8_t { StandardError, StandardOutput };
 
-void startLog(const char* program, LogSink sink = LogSink::StandardError);
+constexpr int defaultLinesPerSecond = 3000; ///< Ordinary structured lines; a busy owner writes some 1,500.
+
+void startLog(const char* program, LogSink sink = LogSink::StandardError, int linesPerSecond = defaultLinesPerSecond);
 void stopLog();
 void logLine(LogPart part, LogLevel level, std::string text);
 void logInfo(LogPart part, std::string text);
