Change: a host that the store turns away asks other members who owns the cell

Cause: such a host refused its callers for as long as the store turned it away, although the new owner could be reached.

--- a/src/cell_session.cpp
+++ b/src/cell_session.cpp
@@ -11,9 +11,15 @@
 namespace {
 
     constexpr int keepsPerLease = 3; ///< Two renewals in a row may be lost before the lease is.
-    constexpr std::chrono::milliseconds leaseCallTimeout { 320 }; ///< Below the pause between renewals; a slow store needs 240 ms.
-    constexpr std::chrono::milliseconds refusedFor { 40 }; ///< A process that restarts its listener would be back by then.
-    constexpr std::chrono::seconds suspectPause { 5 }; ///< Keeps two hosts that can't reach each other from taking turns.
+    constexpr std::chrono::milliseconds leaseCallTimeout {
+        320
+    }; ///< Below the pause between renewals; a slow store needs 240 ms.
+    constexpr std::chrono::milliseconds refusedFor {
+        40
+    }; ///< A process that restarts its listener would be back by then.
+    constexpr std::chrono::seconds suspectPause {
+        5
+    }; ///< Keeps two hosts that can't reach each other from taking turns.
     constexpr std::chrono::milliseconds callTimeout { 1000 }; ///< A slow store answers within a quarter of a second.
     constexpr std::chrono::milliseconds retryPause { 150 }; ///< Between calls to a store that refuses or is away.
     constexpr std::chrono::milliseconds longestRetryPause { 600 };
@@ -241,19 +247,20 @@
 void CellSession::grant(Time now)
 {
     m_leaseOpen = true;
-    m_hooks.call(StoreRequest(StoreLeaseGrant { m_config.leaseTtl }), leaseCallTimeout, [this, now](StoreReply&& reply) {
-        const Time at = m_hooks.clock();
-        heard(reply, at);
-        m_leaseOpen = false;
-        m_leaseRetryAt = at + (reply.status == StoreStatus::Ok ? keepInterval() : retryPause);
-        if (reply.status != StoreStatus::Ok)
-            return;
-        m_lease = reply.lease;
-        m_freshUntil = now + (reply.ttl.count() ? std::min(m_config.leaseTtl, reply.ttl) : m_config.leaseTtl);
-        m_memberShown = false;
-        LogLine(LogLevel::Info, "session_began").with("lease", m_lease);
-        tick(at);
-    });
+    m_hooks.call(
+        StoreRequest(StoreLeaseGrant { m_config.leaseTtl }), leaseCallTimeout, [this, now](StoreReply&& reply) {
+            const Time at = m_hooks.clock();
+            heard(reply, at);
+            m_leaseOpen = false;
+            m_leaseRetryAt = at + (reply.status == StoreStatus::Ok ? keepInterval() : retryPause);
+            if (reply.status != StoreStatus::Ok)
+                return;
+            m_lease = reply.lease;
+            m_freshUntil = now + (reply.ttl.count() ? std::min(m_config.leaseTtl, reply.ttl) : m_config.leaseTtl);
+            m_memberShown = false;
+            LogLine(LogLevel::Info, "session_began").with("lease", m_lease);
+            tick(at);
+        });
 }
 
 void CellSession::keepAlive(Time now)
@@ -369,6 +376,17 @@
     tick(now);
 }
 
+/** Another host knows of an owner. @param owner Owner; one that is not newer than the known one is ignored. */
+void CellSession::ownerHeard(const CellOwnerInfo& owner)
+{
+    if (m_owner && m_owner->revision.value >= owner.revision.value)
+        return;
+    LogLine(LogLevel::Info, "owner_heard").with("host", owner.host).with("token", owner.revision);
+    m_owner = owner;
+    if (owning() && m_token.value < owner.revision.value)
+        lose("another host tells of a newer owner");
+}
+
 std::chrono::milliseconds CellSession::keepInterval() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_config.leaseTtl) / keepsPerLease;
--- a/src/cell_session.h
+++ b/src/cell_session.h
@@ -61,6 +61,7 @@
     void abstain(Time until) { m_abstainUntil = until; }
     void resign(const std::string& reason, Time now);
     void ownerRefused(Time now);
+    void ownerHeard(const CellOwnerInfo& owner);
 
     bool synced() const { return m_synced; }
     bool owning() const { return m_token.value != 0; }
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -15,6 +15,7 @@
     constexpr std::chrono::milliseconds peerRetry { 60 }; ///< Knowledge of a new owner spreads within a round trip.
     constexpr std::chrono::milliseconds answerMargin { 150 }; ///< The answer has to reach the caller in time.
     constexpr std::chrono::milliseconds ownerPatience { 1000 }; ///< A submission waits this long for an owner.
+    constexpr std::chrono::milliseconds memberPatience { 200 }; ///< Two other members can be asked.
     constexpr std::chrono::milliseconds storeSilent { 700 }; ///< Two renewals of the lease without an answer.
     constexpr std::chrono::milliseconds retryAfterNoOwner { 1000 }; ///< A take-over takes one to three seconds.
     constexpr std::chrono::milliseconds pingInterval { 700 };
@@ -327,19 +328,19 @@
     if (request.spec)
         toProto(*request.spec, *call.mutable_spec());
     ++pending->tries;
-    if (m_session.owning()) {
+    if (m_session.owning() && m_session.leaseFresh(now)) {
         serveOwnerCall(call, [this, pending](const proto::OwnerAnswer& answer) { takeOwnerAnswer(pending, answer); });
         return;
     }
-    const auto& owner = m_session.owner();
-    if (!owner || owner->host == m_settings.session.self) {
+    const std::string address = addressToAsk(pending->tries, now);
+    if (address.empty()) {
         retryPending(pending, "the cell has no owner", false);
         return;
     }
     m_forwarded.add();
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(pending->deadline() - now);
     const auto timeout = std::clamp(left, peerRetry, peerTimeout);
-    m_hooks.callPeer(owner->address, callPath, call.SerializeAsString(), timeout, [this, pending](HttpResult&& result) {
+    m_hooks.callPeer(address, callPath, call.SerializeAsString(), timeout, [this, pending](HttpResult&& result) {
         proto::OwnerAnswer answer;
         if (result.complete && result.status == 200 && answer.ParseFromString(result.body))
             takeOwnerAnswer(pending, answer);
@@ -352,8 +353,7 @@
 {
     if (result.refused)
         m_session.ownerRefused(m_hooks.clock());
-    retryPending(
-        pending, result.refused ? "the owner's process has ended" : "the owner did not answer", result.sent);
+    retryPending(pending, result.refused ? "the owner's process has ended" : "the owner did not answer", result.sent);
 }
 
 void EntryNode::takeOwnerAnswer(const std::shared_ptr<Pending>& pending, const proto::OwnerAnswer& answer)
@@ -377,12 +377,32 @@
         retryPending(pending, "the owner changed meanwhile", true);
         return;
     default:
+        if (answer.owner_revision() > 0)
+            m_session.ownerHeard(
+                { HostId(answer.owner().node()), answer.owner().address(), Revision(answer.owner_revision()) });
         retryPending(pending, answer.reason().c_str(), false);
         return;
     }
     finishPending(pending, std::move(result));
 }
 
+/** Host to ask: the owner, or, while the store does not tell who that is, another member that may know. */
+std::string EntryNode::addressToAsk(int tries, Time now) const
+{
+    const auto& owner = m_session.owner();
+    const bool other = owner && owner->host != m_settings.session.self;
+    if (other && (m_session.reachesStore(now) || tries % 2 == 1))
+        return owner->address;
+    if (m_session.reachesStore(now))
+        return {};
+    std::vector<std::string> addresses;
+    for (const auto& [host, member] : m_session.members()) {
+        if (host != m_settings.session.self)
+            addresses.push_back(member.address);
+    }
+    return addresses.empty() ? std::string() : addresses[static_cast<std::size_t>(tries) % addresses.size()];
+}
+
 /** Tries again shortly, or answers when that can't succeed in time. Repeating is safe: jobs are known by their id. */
 void EntryNode::retryPending(const std::shared_ptr<Pending>& pending, const char* reason, bool sent)
 {
@@ -407,10 +427,10 @@
     finishPending(pending, std::move(result));
 }
 
-/** How long a submission waits for an owner. Without the store there can't be one. */
+/** How long a submission waits for an owner. Without the store only another member may know one. */
 std::chrono::milliseconds EntryNode::patienceForOwner(Time now) const
 {
-    return now - m_session.storeHeardAt() > storeSilent ? std::chrono::milliseconds(0) : ownerPatience;
+    return now - m_session.storeHeardAt() > storeSilent ? memberPatience : ownerPatience;
 }
 
 /** While the owner can't be asked, the record tells the state that was stored last. */
@@ -450,6 +470,11 @@
     proto::OwnerAnswer answer;
     if (!m_owner.active() || !m_session.leaseFresh(now)) {
         answer.set_status(proto::OwnerAnswer::NOT_OWNER);
+        if (const auto& owner = m_session.owner()) {
+            answer.mutable_owner()->set_node(owner->host.value);
+            answer.mutable_owner()->set_address(owner->address);
+            answer.set_owner_revision(owner->revision.value);
+        }
         answer.set_reason(m_owner.active() ? "the owner's lease is not fresh" : "the owner is still taking over");
         reply(answer);
         return;
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -115,6 +115,7 @@
     void finishPending(const std::shared_ptr<Pending>& pending, CallerResult&& result);
     void ownerSilent(const std::shared_ptr<Pending>& pending, const HttpResult& result);
     void takeOwnerAnswer(const std::shared_ptr<Pending>& pending, const proto::OwnerAnswer& answer);
+    std::string addressToAsk(int tries, Time now) const;
     void retryPending(const std::shared_ptr<Pending>& pending, const char* reason, bool sent);
     std::chrono::milliseconds patienceForOwner(Time now) const;
     void readStateFromStore(const std::shared_ptr<Pending>& pending);
