--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -475,7 +475,9 @@
             answer.mutable_owner()->set_address(owner->address);
             answer.set_owner_revision(owner->revision.value);
         }
-        answer.set_reason(m_owner.active() ? "the owner's lease is not fresh" : "the owner is still taking over");
+        answer.set_reason(m_owner.active() ? "the owner's lease is not fresh"
+                : m_session.owning()       ? "the owner is still taking over"
+                                           : "this host does not own the cell");
         reply(answer);
         return;
     }
