--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -14,7 +14,9 @@
     constexpr std::size_t advisedTargets = 30; ///< Targets that an objective's call for advice is reckoned with.
     constexpr std::size_t writesPerJob = 2; ///< Record, and specification written or removed.
     constexpr std::size_t removalsPerBatch = 8; ///< Old records removed along with others.
-    constexpr std::chrono::milliseconds stalledRetry { 1000 }; ///< Outages of the store last seconds; callers wait as long.
+    constexpr std::chrono::milliseconds stalledRetry {
+        1000
+    }; ///< Outages of the store last seconds; callers wait as long.
     constexpr std::chrono::seconds neverRunnableRetry { 30 }; ///< Targets of another size come within minutes, if ever.
 
 } // namespace
--- /dev/null
+++ b/tests/test_platform_wire.cpp
@@ -0,0 +1,191 @@
+#include "doctest_main.h"
+
+#include "entry_settings.h"
+#include "wire.h"
+
+using namespace sp;
+using namespace sp::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Value of a result; fails the test if there is none. */
+template <typename T> T valueOf(leaf::result<T>&& result)
+{
+    REQUIRE(static_cast<bool>(result));
+    return std::move(*result);
+}
+
+constexpr const char* settingsText = R"({"node_name":"n1","ip":"10.1.0.13","zone":"z","new_field":[1],
+    "listen_addrs":{"front":"10.1.0.13:81","ready":"10.1.0.13:82"},"internal_port_range":[7720,7735],
+    "limits":{"cpu_share":0.25,"cores":2},"hint":"10.2.0.1:5","platform":{"address":"10.2.0.2:6","min_ttl_ms":1500},
+    "bounds":{"max_hold_ms":8000,"grace_s":6.5,"status_s":120,"stop_timeout_ms":200,"impact_ms":4000}})";
+
+} // namespace
+
+TEST_CASE("the settings file is decoded, with unknown fields passed over and missing ones reported")
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            const EntrySettings settings = valueOf(parseEntrySettings(settingsText));
+            CHECK(settings.peerAddress == "10.1.0.13:7720");
+            CHECK(settings.strengthMilli == 500);
+            CHECK(settings.bounds.maxHold == 8000ms);
+            CHECK(settings.bounds.statusKept == 120s);
+            CHECK(settings.shutdownTime == 6500ms);
+            CHECK(settings.leaseTtl == 2s);
+            return {};
+        },
+        [] { FAIL("not decoded"); });
+    leaf::try_handle_all(
+        []() -> leaf::result<void> {
+            BOOST_LEAF_CHECK(parseEntrySettings(R"({"node_name":"n1"})"));
+            FAIL("a settings file without addresses was taken");
+            return {};
+        },
+        [](const ErrorDetail& detail) { CHECK(detail.text.find("ip") != std::string::npos); },
+        [] { FAIL("no detail"); });
+}
+
+TEST_CASE("a job's body names steps with all their needs")
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            const CellJobSpec job = valueOf(decodeJob(R"({"spec":"p","steps":[{"task_count":4,"cpu":500,"mem_mb":256,
+                "estimate_ms":900,"affinity":"r1"},{"task_count":2,"cpu":1,"mem_mb":1,"gpus":1,"after":[0],"gang":true,
+                "anti_affinity":1,"long_running":true,"target_ms":30,"fills":true,"requirements":"b"}],
+                "start_at_ms":5000,"interval_ms":100,"run_count":3})"));
+            REQUIRE(job.steps.size() == 2);
+            CHECK(job.steps[0].demand == Resources { 500, 256, 0 });
+            CHECK(job.steps[0].nearRack == RackId("r1"));
+            CHECK(job.steps[1].after == std::vector<std::uint32_t> { 0 });
+            CHECK(job.steps[1].gang);
+            CHECK(job.steps[1].lasting);
+            CHECK(job.steps[1].perTargetLimit == 1);
+            CHECK(job.steps[1].tailTarget == 30ms);
+            CHECK(job.steps[1].requiredLabel == "b");
+            CHECK(job.schedule.occurrences == 3);
+            return {};
+        },
+        [] { FAIL("not decoded"); });
+    CHECK_FALSE(static_cast<bool>(decodeJob("{}")));
+    CHECK_FALSE(static_cast<bool>(decodeJob(R"({"steps":[{"task_count":"four"}]})")));
+    CHECK(isJobId("5c0e7a21d94b36f8"));
+    CHECK_FALSE(isJobId("5c0e7a21d94b36f"));
+}
+
+TEST_CASE("an entry that another writer left names no target")
+{
+    const TargetId id("i1");
+    const std::string good = R"({"service":"s","address":"a:1","zone":"z","state":"ready",
+        "free_resources":{"cpu":16000,"mem_mb":100,"gpus":0},"labels":["a","r1"],"machine":"m","born":17})";
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            const TargetEntry entry = valueOf(decodeTarget(id, good));
+            CHECK(entry.rack == RackId("r1"));
+            CHECK(entry.machine == MachineId("m"));
+            CHECK(entry.bornMs == 17);
+            CHECK_FALSE(entry.draining);
+            return {};
+        },
+        [] { FAIL("not decoded"); });
+    CHECK_FALSE(static_cast<bool>(decodeTarget(id, "not json")));
+    CHECK_FALSE(static_cast<bool>(decodeTarget(id, R"({"service":"s"})")));
+    std::string odd = good;
+    odd.replace(odd.find("ready"), 5, "weird");
+    CHECK_FALSE(static_cast<bool>(decodeTarget(id, odd)));
+}
+
+TEST_CASE("a report lists runs and ends, and an unknown name is an error")
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            const RunReport report = valueOf(decodeReport(R"({"clock_ms":42,"born":9,
+                "running":[["5c0e7a21d94b36f8.2.1.17",2,"cp",41,33.4]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"alone",""]]})"));
+            CHECK(report.clock == 42ms);
+            CHECK(report.running[0].task == CellTaskKey { JobId("5c0e7a21d94b36f8"), 2, 1, 17 });
+            CHECK(report.running[0].gauge == 33);
+            CHECK(report.ended[0].kind == EndKind::Alone);
+            return {};
+        },
+        [] { FAIL("not decoded"); });
+    CHECK_FALSE(static_cast<bool>(decodeReport(R"({"clock_ms":1,"running":[["x.1",1,"",0]],"finished":[]})")));
+    CHECK_FALSE(
+        static_cast<bool>(decodeReport(R"({"clock_ms":1,"running":[],"finished":[[1,"a.0.0.0",1,"odd",""]]})")));
+}
+
+TEST_CASE("answers to orders keep their meaning")
+{
+    CHECK(decodeOrderAnswer(200, R"({"clock_ms":7})").clock == 7ms);
+    CHECK(decodeOrderAnswer(409, R"({"reason":"fence"})").result == OrderResult::Fenced);
+    CHECK(decodeOrderAnswer(409, R"({"reason":"old"})").result == OrderResult::Outdated);
+    CHECK(decodeOrderAnswer(409, R"({"reason":"late"})").result == OrderResult::LeasePast);
+    CHECK(decodeOrderAnswer(409, R"({"reason":"room"})").result == OrderResult::NoRoom);
+    CHECK(decodeOrderAnswer(409, R"({"reason":"ticket"})").result == OrderResult::BadTicket);
+    CHECK(decodeOrderAnswer(421, "").result == OrderResult::OtherLife);
+    CHECK(decodeOrderAnswer(503, "").result == OrderResult::Unhealthy);
+    CHECK(decodeOrderAnswer(500, "").result == OrderResult::Rejected);
+}
+
+TEST_CASE("values of the store survive any bytes, and a condition it lacks is an error")
+{
+    std::string bytes;
+    for (int i = 0; i < 256; ++i)
+        bytes += static_cast<char>(i);
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            StoreTxn txn;
+            txn.compares.push_back({ StoreCompare::Kind::Absent, "a", {}, {} });
+            txn.writes.push_back({ StoreWrite::Kind::Put, "k", bytes, StoreLeaseId(3) });
+            txn.writes.push_back({ StoreWrite::Kind::Delete, "gone", {}, {} });
+            const std::string body = valueOf(encodeTxn(txn));
+            const std::string key = "\"value\":\"";
+            const auto at = body.find(key) + key.size();
+            const std::string value = body.substr(at, body.find('"', at) - at);
+            StoreRange single;
+            single.key = "k";
+            const StoreReply reply = valueOf(decodeStoreReply(
+                StoreRequest(single), R"({"key":"k","value":")" + value + R"(","revision":4,"as_of":9})"));
+            REQUIRE(reply.values.size() == 1);
+            CHECK(reply.values[0].value == bytes);
+            CHECK(reply.revision == Revision(9));
+            txn.compares = { { StoreCompare::Kind::Value, "a", {}, "v" } };
+            CHECK_FALSE(static_cast<bool>(encodeTxn(txn)));
+            return {};
+        },
+        [] { FAIL("not decoded"); });
+}
+
+TEST_CASE("of several changes of a key only the last one counts")
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            const StoreWatchBatch batch = valueOf(decodeWatch("o",
+                R"({"events":[{"key":"a","revision":1,"deleted":true},{"key":"a","value":"eA==","revision":2},
+                {"key":"b","value":"eA==","revision":3},{"key":"b","revision":4,"deleted":true}],"as_of":4})"));
+            REQUIRE(batch.puts.size() == 1);
+            CHECK(batch.puts[0].value == "x");
+            CHECK(batch.deletes == std::vector<std::string> { "b" });
+            return {};
+        },
+        [] { FAIL("not decoded"); });
+}
+
+TEST_CASE("the configuration's queues are found by host and longest prefix")
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            const CellConfig config = valueOf(decodeConfig(R"({"version":7,"routes":[
+                {"name":"q1","host":"h","prefix":"/a/","service":"s","timeout_ms":3000,"priority":0,"max_attempts":2,
+                 "slack_factor":1.5,"hint":{"decision_ms":19.0,"per_worker_ms":0.28,"validity_ms":2000}},
+                {"name":"q2","host":"h","prefix":"/a/b/","service":"s","timeout_ms":3000}],
+                "services":[{"name":"s","enforce_limits":false,"standby":false}],"limits":{"max_body_bytes":99}})"));
+            CHECK(config.match("h", "/a/x")->id == QueueId("q1"));
+            CHECK(config.match("h", "/a/b/x")->id == QueueId("q2"));
+            CHECK(config.match("g", "/a/x") == nullptr);
+            CHECK(config.queues[0].advisor->callTime(10) == 21800us);
+            CHECK(config.maxBodyBytes == 99);
+            return {};
+        },
+        [] { FAIL("not decoded"); });
+}
