--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -131,6 +131,9 @@
     std::string statusText(Time now) const;
 
 private:
+    static constexpr std::chrono::milliseconds lookWait { 1500 }; ///< Renews a lease several times before its end.
+    static constexpr std::chrono::milliseconds lookPause { 120 }; ///< Ends of one step come close together.
+
     struct ReadyStep {
         CellJob* job = nullptr;
         std::uint32_t occurrence = 0;
@@ -159,6 +162,12 @@
     void taskFailed(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
     void requeue(CellJob& job, const CellTaskKey& key, Time now);
     void requeueIfAlive(const CellTaskKey& key, std::uint32_t run, Time now);
+    struct AnsweredRun {
+        CellTarget* target = nullptr;
+        Occupant* occupant = nullptr; ///< Null if the run is not on the target any more.
+    };
+    AnsweredRun takeAnswer(
+        const TargetId& id, const CellTaskKey& key, std::uint32_t run, const OrderAnswer& answer, Time now);
     void startRefused(CellTarget& target, const CellTaskKey& key, const char* reason, Time now);
     void forgetOldJobs(Time now);
     std::optional<std::string> refusalFor(const CellJobSpec& spec) const;
@@ -191,6 +200,7 @@
     std::vector<ReadyStep> readySteps(Time now);
     void placeStep(const ReadyStep& ready, Time now);
     std::vector<PlacementOption> optionsFor(const CellJob& job, const StepState& state, const StepSpec& step, Time now);
+    Occupant occupantOf(const CellJob& job, const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now) const;
     void assign(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
     void considerAdvice(CellJob& job, const StepKey& key, Time now);
     void placeGangStep(const ReadyStep& ready, std::vector<PlacementOption>& options, Time now);
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -260,25 +260,33 @@
     }
 }
 
-/** Gives a task a target. The order follows once the job's record says so in the store. */
-void CellOwner::assign(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now)
+/** What a run of a task takes on its target. */
+Occupant CellOwner::occupantOf(
+    const CellJob& job, const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now) const
 {
-    TaskState& task = *job.task(key);
-    const StepSpec& spec = job.spec.steps[key.step];
-    ++task.run;
-    task.target = &target;
-    task.recordedTarget = target.id();
     Occupant occupant;
-    occupant.run = task.run;
+    occupant.run = run;
+    occupant.phase = phase;
     occupant.taken = spec.reserved();
-    occupant.priority = priorityOf(job);
     occupant.checkpointing = spec.checkpointing;
     occupant.fills = spec.fills;
     occupant.serves = spec.tailTarget.count() > 0;
     occupant.lasting = spec.lasting;
     occupant.estimate = spec.estimate;
+    occupant.priority = priorityOf(job);
     occupant.since = now;
-    target.occupy(key, occupant);
+    return occupant;
+}
+
+/** Gives a task a target. The order follows once the job's record says so in the store. */
+void CellOwner::assign(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now)
+{
+    TaskState& task = *job.task(key);
+    const StepSpec& spec = job.spec.steps[key.step];
+    ++task.run;
+    task.target = &target;
+    task.recordedTarget = target.id();
+    target.occupy(key, occupantOf(job, spec, task.run, RunPhase::Recording, now));
     m_waitSeconds.record(now - task.waitingSince);
     LogLine(LogLevel::Info, "task_placed")
         .with("task", taskText(key))
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -12,18 +12,11 @@
     constexpr int holdPercent = 60; ///< Share of the longest lease: runs on a silent target are taken for ended sooner.
     constexpr std::chrono::milliseconds clockMargin { 300 }; ///< Answers in flight and rounding of clock readings.
     constexpr std::chrono::milliseconds saveLazily { 400 }; ///< For ends that only their target waits for.
-    constexpr std::chrono::milliseconds lookWait { 1500 }; ///< Renews a lease several times before it runs out.
-    constexpr std::chrono::milliseconds lookPause {
-        120
-    }; ///< Ends of one step come close together; one look takes all.
     constexpr std::chrono::milliseconds guardedLookWait { 500 }; ///< A tail is a figure of the last half second.
     constexpr std::chrono::milliseconds lookRetry { 250 }; ///< After a look without an answer; doubles up to a second.
-    constexpr std::chrono::milliseconds longestLookRetry { 1000 };
-    constexpr std::chrono::milliseconds orderRetry { 50 }; ///< After an order without an answer, times the tries.
-    constexpr int startTries = 3; ///< Then the run is stopped, so that the task can go elsewhere.
-    constexpr std::chrono::milliseconds noRoomPause { 300 }; ///< The target knows of load that is not ours.
-    constexpr std::chrono::milliseconds unhealthyPause { 1000 }; ///< Unhealthy targets seldom recover faster.
-    constexpr std::chrono::milliseconds unreachablePause { 500 };
+    constexpr std::chrono::milliseconds longestLookRetry {
+        1000
+    }; ///< A target that is back is noticed within a second.
     constexpr std::chrono::milliseconds evacuationMargin { 600 }; ///< The stop and the look that brings its checkpoint.
     constexpr std::chrono::milliseconds stallTime { 3000 }; ///< A sound task gains a percent well within this time.
 
@@ -74,18 +67,18 @@
                 .with("machine", entry.machine)
                 .with("draining", entry.draining);
         noteDraining(target, entry, now);
-        if (target.entry.bornMs != 0 && entry.bornMs > target.entry.bornMs)
+        if (target.entry.bornAt != CalendarTime {} && entry.bornAt > target.entry.bornAt)
             beginLife(target, now);
         target.entry = entry;
         target.listed = true;
         if (entry.machine.empty())
             continue;
-        if (CellTarget*& life = lives[entry.machine]; !life || life->entry.bornMs < entry.bornMs)
+        if (CellTarget*& life = lives[entry.machine]; !life || life->entry.bornAt < entry.bornAt)
             life = &target;
     }
     for (auto& [id, target] : m_targets) {
         const auto life = lives.find(target->entry.machine);
-        if (life != lives.end() && life->second != target.get() && target->entry.bornMs < life->second->entry.bornMs
+        if (life != lives.end() && life->second != target.get() && target->entry.bornAt < life->second->entry.bornAt
             && !target->occupants.empty())
             dropLife(*target, "its machine runs another life", now);
         if (settled && target->listed && !listed.contains(id)) {
@@ -184,18 +177,6 @@
     requeueIfAlive(key, run, now);
 }
 
-/** A start was refused and its run was never begun. */
-void CellOwner::startRefused(CellTarget& target, const CellTaskKey& key, const char* reason, Time now)
-{
-    const std::uint32_t run = target.occupants.at(key).run;
-    runGone(target, key, reason, now);
-    CellJob* job = find(key.job);
-    TaskState* task = job && !isFinal(job->state) ? job->task(key) : nullptr;
-    // The other members of a gang are waiting under this number; it is used again.
-    if (task && task->waiting() && task->run == run && job->spec.steps[key.step].gang)
-        --task->run;
-}
-
 void CellOwner::requeueIfAlive(const CellTaskKey& key, std::uint32_t run, Time now)
 {
     CellJob* job = find(key.job);
@@ -273,206 +254,6 @@
         look(target, now);
 }
 
-/** Sends a start order, again under the same run number if an earlier one had no answer. */
-void CellOwner::orderStart(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now)
-{
-    CellJob* job = find(key.job);
-    TaskState* task = job ? job->task(key) : nullptr;
-    const StepState* step = job ? job->step(key.stepKey()) : nullptr;
-    if (!task || isFinal(job->state) || occupant.tries >= startTries) {
-        beginStop(target, key, occupant, task && !isFinal(job->state) ? "start not answered" : "job ended", now);
-        return;
-    }
-    StartOrder order { key, occupant.run, job->spec.payload, task->checkpoint, {}, {}, m_token };
-    if (const auto it = step->advice.allowed.find(target.id()); it != step->advice.allowed.end())
-        order.ticket = it->second.ticket;
-    order.leaseUntil = target.clockAtLeast(now) + holdTime();
-    target.leaseSent = std::max(target.leaseSent, order.leaseUntil);
-    ++occupant.tries;
-    occupant.orderOpen = true;
-    m_starts.add();
-    m_hooks.start(target, order);
-}
-
-/** Begins to stop a run; its capacity is free once its end is listed. */
-void CellOwner::beginStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, const char* reason, Time now)
-{
-    if (occupant.phase == RunPhase::Stopping)
-        return;
-    LogLine(LogLevel::Info, "run_stopping")
-        .with("task", taskText(key))
-        .with("run", occupant.run)
-        .with("target", target.id())
-        .with("reason", reason);
-    m_stops.add();
-    occupant.phase = RunPhase::Stopping;
-    occupant.since = now;
-    occupant.confirmedAt = {};
-    occupant.tries = 0;
-    occupant.retryAt = now;
-    occupant.stopReason = reason;
-    if (m_mayOrder && !target.entry.address.empty() && !occupant.orderOpen)
-        orderStop(target, key, occupant, now);
-}
-
-void CellOwner::orderStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time /*now*/)
-{
-    ++occupant.tries;
-    occupant.orderOpen = true;
-    m_hooks.stop(target, key, occupant.run, m_token);
-}
-
-/** Takes the answer to a start order. */
-void CellOwner::onStarted(
-    const TargetId& id, const CellTaskKey& key, std::uint32_t run, const OrderAnswer& answer, Time now)
-{
-    m_now = now;
-    CellTarget* target = m_active ? findTarget(id) : nullptr;
-    if (!target)
-        return;
-    if (answer.clock)
-        target->sawClock(*answer.clock, now);
-    const auto it = target->occupants.find(key);
-    if (it == target->occupants.end() || it->second.run != run)
-        return;
-    Occupant& occupant = it->second;
-    occupant.orderOpen = false;
-    LogLine(answer.result == OrderResult::Done ? LogLevel::Info : LogLevel::Warning, "start_answered")
-        .with("task", taskText(key))
-        .with("run", run)
-        .with("target", id)
-        .with("result", orderResultName(answer.result))
-        .with("try", occupant.tries);
-    if (answer.result == OrderResult::Fenced) {
-        m_hooks.superseded("target " + id.value + " has seen a higher token");
-        return;
-    }
-    if (answer.result == OrderResult::Lost || answer.result == OrderResult::NotSent)
-        unanswered(*target, now);
-    if (occupant.phase != RunPhase::Ordered) {
-        // A stop was decided meanwhile; it is ordered now that the start is answered.
-        occupant.retryAt = now;
-        return;
-    }
-    CellJob* job = find(key.job);
-    switch (answer.result) {
-    case OrderResult::Done:
-        occupant.phase = RunPhase::Running;
-        occupant.confirmedAt = now;
-        occupant.progressAt = now;
-        occupant.unsure = false;
-        if (job && !job->begun) {
-            job->begun = true;
-            job->state = JobState::Running;
-        }
-        if (target->occupants.size() == 1)
-            target->nextLookAt = now + lookPause;
-        lookSoon(*target, now + lookWait);
-        return;
-    case OrderResult::Outdated:
-        // The run has ended there; the next report tells how.
-        occupant.confirmedAt = now;
-        lookSoon(*target, now);
-        return;
-    case OrderResult::LeasePast:
-        occupant.retryAt = now;
-        return;
-    case OrderResult::Lost:
-        m_startsUnanswered.add();
-        occupant.unsure = true;
-        occupant.retryAt = now + orderRetry * occupant.tries;
-        lookSoon(*target, now);
-        return;
-    case OrderResult::NoRoom:
-        target->refusedUntil = now + noRoomPause;
-        break;
-    case OrderResult::Unhealthy:
-        target->refusedUntil = now + unhealthyPause;
-        break;
-    case OrderResult::NotSent:
-    case OrderResult::OtherLife:
-        target->refusedUntil = now + unreachablePause;
-        break;
-    case OrderResult::BadTicket:
-        if (StepState* step = job ? job->step(key.stepKey()) : nullptr)
-            step->advice.allowed.erase(id);
-        break;
-    case OrderResult::Rejected:
-        if (TaskState* task = job ? job->task(key) : nullptr)
-            task->avoid.insert(id);
-        break;
-    case OrderResult::Fenced:
-        return;
-    }
-    if (occupant.unsure && answer.result != OrderResult::OtherLife) {
-        // An earlier order of this run may still be carried out; only a stop rules that out.
-        beginStop(*target, key, occupant, orderResultName(answer.result), now);
-        return;
-    }
-    startRefused(*target, key, orderResultName(answer.result), now);
-}
-
-/** Takes the answer to a stop order. */
-void CellOwner::onStopped(
-    const TargetId& id, const CellTaskKey& key, std::uint32_t run, const OrderAnswer& answer, Time now)
-{
-    m_now = now;
-    CellTarget* target = m_active ? findTarget(id) : nullptr;
-    if (!target)
-        return;
-    if (answer.clock)
-        target->sawClock(*answer.clock, now);
-    if (answer.result == OrderResult::Fenced) {
-        m_hooks.superseded("target " + id.value + " has seen a higher token");
-        return;
-    }
-    const auto it = target->occupants.find(key);
-    if (it == target->occupants.end() || it->second.run != run)
-        return;
-    Occupant& occupant = it->second;
-    occupant.orderOpen = false;
-    if (answer.result == OrderResult::Lost || answer.result == OrderResult::NotSent) {
-        unanswered(*target, now);
-        occupant.retryAt = now + orderRetry * std::min(occupant.tries, 10);
-        return;
-    }
-    if (answer.result == OrderResult::Unhealthy) {
-        occupant.retryAt = now + orderRetry * std::min(occupant.tries, 10);
-        return;
-    }
-    if (answer.result == OrderResult::OtherLife) {
-        runGone(*target, key, "the target has started again", now);
-        return;
-    }
-    // Carried out, or the run had already ended: a later start of it is refused. The next report shows its end.
-    occupant.confirmedAt = now;
-    lookSoon(*target, now);
-}
-
-/** Takes the answer to a change of pace. */
-void CellOwner::onPaced(
-    const TargetId& id, const CellTaskKey& key, std::uint32_t run, int percent, const OrderAnswer& answer, Time now)
-{
-    m_now = now;
-    CellTarget* target = m_active ? findTarget(id) : nullptr;
-    if (!target)
-        return;
-    if (answer.clock)
-        target->sawClock(*answer.clock, now);
-    if (answer.result == OrderResult::Fenced) {
-        m_hooks.superseded("target " + id.value + " has seen a higher token");
-        return;
-    }
-    const auto it = target->occupants.find(key);
-    if (it == target->occupants.end() || it->second.run != run)
-        return;
-    it->second.paceOpen = false;
-    it->second.paceAt = now;
-    // Without an answer the slower of the two is assumed to be in force, so that it is ordered again.
-    if (answer.result == OrderResult::Done)
-        it->second.pace = percent;
-}
-
 /** Takes a target's report, or the lack of one. */
 void CellOwner::onReport(
     const TargetId& id, const LookOrder& order, const OrderAnswer& answer, const RunReport& report, Time now)
@@ -491,14 +272,14 @@
         target->nextLookAt = now + std::min(longestLookRetry, lookRetry * target->unanswered);
         return;
     }
-    if (report.bornMs != 0 && report.bornMs < target->reportedBornMs)
+    if (report.bornAt != CalendarTime {} && report.bornAt < target->reportedBornAt)
         return; // A late answer of a life that is over.
-    if (target->reportedBornMs != 0 && report.bornMs > target->reportedBornMs)
+    if (target->reportedBornAt != CalendarTime {} && report.bornAt > target->reportedBornAt)
         beginLife(*target, now);
     if (target->silent())
         LogLine(LogLevel::Info, "target_back").with("target", id);
     target->sawClock(report.clock, now);
-    target->reportedBornMs = report.bornMs;
+    target->reportedBornAt = report.bornAt;
     target->endsAcknowledged = std::max(target->endsAcknowledged, order.endsAcknowledged);
     if (!target->reported) {
         target->reported = true;
@@ -531,9 +312,9 @@
 std::function<void(bool)> CellOwner::acknowledgement(CellTarget& target, std::uint64_t number)
 {
     target.endsUnsaved.insert(number);
-    return [this, id = target.id(), born = target.reportedBornMs, number](bool saved) {
+    return [this, id = target.id(), born = target.reportedBornAt, number](bool saved) {
         CellTarget* found = saved ? findTarget(id) : nullptr;
-        if (!found || found->reportedBornMs != born)
+        if (!found || found->reportedBornAt != born)
             return;
         found->endsUnsaved.erase(number);
         if (found->endsUnsaved.empty())
--- a/src/cell_recovery.cpp
+++ b/src/cell_recovery.cpp
@@ -58,17 +58,7 @@
                     const StepSpec& spec = job.spec.steps[s];
                     CellTarget& target = targetFor(task.recordedTarget);
                     task.target = &target;
-                    Occupant occupant;
-                    occupant.run = task.run;
-                    occupant.phase = RunPhase::Recovered;
-                    occupant.taken = spec.reserved();
-                    occupant.priority = priorityOf(job);
-                    occupant.checkpointing = spec.checkpointing;
-                    occupant.fills = spec.fills;
-                    occupant.serves = spec.tailTarget.count() > 0;
-                    occupant.lasting = spec.lasting;
-                    occupant.estimate = spec.estimate;
-                    occupant.since = now;
+                    const Occupant occupant = occupantOf(job, spec, task.run, RunPhase::Recovered, now);
                     target.occupy({ id, number, s, i }, occupant);
                     ++unsure;
                 }
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -61,7 +61,7 @@
 
     // Looking.
     bool reported = false; ///< Has reported under the present token.
-    std::int64_t reportedBornMs = 0;
+    CalendarTime reportedBornAt {};
     bool lookOpen = false;
     Time nextLookAt {};
     Time heardAt {}; ///< Last answer of any kind.
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -137,7 +137,7 @@
 struct TargetEntry {
     TargetId id;
     MachineId machine;
-    std::int64_t bornMs = 0; ///< Calendar time of its start; distinguishes two lives under one id.
+    CalendarTime bornAt {}; ///< Start of this life by its own account; distinguishes two lives under one id.
     std::string address; ///< `ip:port`.
     DataCentreId dataCentre;
     ServiceId service;
@@ -181,7 +181,7 @@
 /** What a target runs and what has ended there. */
 struct RunReport {
     std::chrono::milliseconds clock { 0 }; ///< The target's own steady clock.
-    std::int64_t bornMs = 0; ///< 0 if not reported.
+    CalendarTime bornAt {}; ///< As in the entry; unset if not reported.
     std::vector<RunRow> running;
     std::vector<EndRow> ended;
     bool endsCut = false; ///< More ends are waiting than one report carries.
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -99,6 +99,16 @@
     std::string statusText(Time now) const { return m_owner.statusText(now); }
 
 private:
+    static constexpr std::chrono::milliseconds recordTimeout {
+        1000
+    }; ///< A slow store answers within a quarter of a second.
+    static constexpr std::chrono::milliseconds peerRetry {
+        60
+    }; ///< Knowledge of a new owner spreads within a round trip.
+    static constexpr const char* callPath = "/cell/call";
+    static constexpr const char* advicePath = "/cell/advice";
+    static constexpr const char* pingPath = "/cell/ping";
+
     struct Pending;
 
     CellOwnerHooks ownerHooks();
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -102,7 +102,7 @@
             WorldTarget target;
             target.entry.id = TargetId("t" + number);
             target.entry.machine = MachineId("m" + number);
-            target.entry.bornMs = 1;
+            target.entry.bornAt = CalendarTime(1ms);
             target.entry.address = "a" + number;
             target.entry.service = ServiceId("s");
             target.entry.capacity = capacity;
@@ -262,7 +262,7 @@
         target.lastEnd = 0;
         target.token = {};
         target.answerLook = nullptr;
-        ++target.entry.bornMs;
+        target.entry.bornAt += 1ms;
     }
 
     std::unique_ptr<CellOwner> owner;
@@ -431,9 +431,9 @@
                 OrderAnswer reply { OrderResult::Lost, {} };
                 if (to.alive && to.reachable && to.delayOrders > 0) {
                     --to.delayOrders;
-                    at(lateBy, [this, id, order, life = to.entry.bornMs] {
+                    at(lateBy, [this, id, order, life = to.entry.bornAt] {
                         // An order to a life that is over is lost with its connection.
-                        if (targets.at(id).alive && targets.at(id).entry.bornMs == life)
+                        if (targets.at(id).alive && targets.at(id).entry.bornAt == life)
                             start(targets.at(id), order);
                     });
                 } else if (to.alive && to.reachable) {
@@ -561,7 +561,7 @@
         const WorldTarget& target = targets.at(id);
         RunReport report;
         report.clock = clockOf(target);
-        report.bornMs = target.entry.bornMs;
+        report.bornAt = target.entry.bornAt;
         for (const auto& [key, run] : target.runs) {
             const double share = run.length > Duration(0)
                 ? std::chrono::duration<double>(now - run.startedAt) / std::chrono::duration<double>(run.length)
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -84,7 +84,7 @@
             const TargetEntry entry = valueOf(decodeTarget(id, good));
             CHECK(entry.rack == RackId("r1"));
             CHECK(entry.machine == MachineId("m"));
-            CHECK(entry.bornMs == 17);
+            CHECK(entry.bornAt == CalendarTime(17ms));
             CHECK_FALSE(entry.draining);
             return {};
         },
