--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -71,6 +71,17 @@
     return it == m_jobs.end() ? nullptr : it->second.get();
 }
 
+/** Whether the ownership is certain; without that nothing is ordered. @param mayOrder Whether it is. */
+void CellOwner::setMayOrder(bool mayOrder)
+{
+    if (std::exchange(m_mayOrder, mayOrder) == mayOrder || !m_active)
+        return;
+    LogLine(LogLevel::Warning, mayOrder ? "orders_resumed" : "orders_paused")
+        .with("token", m_token)
+        .with("reason", mayOrder ? "the lease is fresh" : "the lease is not fresh")
+        .with("open_jobs", m_open.size());
+}
+
 /** Takes a new configuration. @param config Configuration. */
 void CellOwner::setConfig(const CellConfig& config)
 {
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -105,7 +105,7 @@
     bool active() const { return m_active; }
     void setConfig(const CellConfig& config);
     void setBounds(const CellBounds& bounds) { m_bounds = bounds; }
-    void setMayOrder(bool mayOrder) { m_mayOrder = mayOrder; }
+    void setMayOrder(bool mayOrder);
 
     void submit(CellJobSpec&& spec, Time now, JobReply reply);
     void cancel(const JobId& id, Time now, JobReply reply);
--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -11,7 +11,9 @@
 
     constexpr std::chrono::milliseconds listInterval { 700 }; ///< A leaving target is noticed well within its notice.
     constexpr std::chrono::milliseconds pingInterval { 700 }; ///< Few calls, and a cut is seen within some seconds.
-    constexpr std::chrono::milliseconds pingTimeout { 600 }; ///< Below the interval, so that one ping a peer is under way.
+    constexpr std::chrono::milliseconds pingTimeout {
+        600
+    }; ///< Below the interval, so that one ping a peer is under way.
     constexpr std::chrono::milliseconds isolatedFor { 2200 }; ///< Three pings of all peers without an answer.
     constexpr std::chrono::milliseconds abstainTime { 5000 }; ///< Cuts of single hosts last some seconds.
     constexpr std::chrono::milliseconds lateLoop { 150 }; ///< A loop this late can't keep deadlines of a second.
--- a/tests/test_cell_faults.cpp
+++ b/tests/test_cell_faults.cpp
@@ -160,7 +160,9 @@
     /** Tasks that last run, all of them; then their jobs are cancelled. */
     void checkLasting()
     {
-        for (const auto& [id, tasks] : lasting) {
+        for (const auto& entry : lasting) {
+            const std::string& id = entry.first; // Doctest can't capture a structured binding.
+            const std::uint32_t tasks = entry.second;
             CAPTURE(id);
             if (!accepted(id) || cancelled.contains(id))
                 continue;
@@ -229,9 +231,9 @@
         { 2490, "a start went out to a new life before its clock was known" },
         { 10431, "ends of a cancelled job were acknowledged before the cancellation was stored" },
     };
-    for (const auto& [seed, cause] : days) {
-        CAPTURE(cause);
-        RandomDay day(seed);
+    for (const auto& known : days) {
+        CAPTURE(known.second);
+        RandomDay day(known.first);
         day.play();
         day.check();
     }
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -39,8 +39,8 @@
         [] { FAIL("not decoded"); });
     leaf::try_handle_all(
         []() -> leaf::result<void> {
-            BOOST_LEAF_CHECK(parseEntrySettings(R"({"node_name":"n1"})"));
-            FAIL("a settings file without addresses was taken");
+            BOOST_LEAF_AUTO(settings, parseEntrySettings(R"({"node_name":"n1"})"));
+            FAIL("a settings file without addresses was taken for ", settings.host);
             return {};
         },
         [](const ErrorDetail& detail) { CHECK(detail.text.find("ip") != std::string::npos); },
