Fix: logs keep the reason why a body could not be read; Codechange: one base64, one URL escaping

Cause: orReport took a result that was made before it waited for errors, so the reason was dropped and the line had none (shown with decodeReport: no reason before, the missing field's name now). The adapter used its own base64 and spctl its own escaping beside ones that existed.

--- a/src/ctl/other_commands.cpp
+++ b/src/ctl/other_commands.cpp
@@ -1,4 +1,5 @@
 #include "ctl/command_type.h"
+#include "http_client.h"
 #include "settings.h"
 #include "state_chart.h"
 #include "table/bundle_keys.h"
@@ -15,19 +16,6 @@
 
 namespace {
 
-    std::string percentEncoded(const std::string& text)
-    {
-        std::string result;
-        for (const unsigned char letter : text) {
-            constexpr char digits[] = "0123456789ABCDEF";
-            if (std::isalnum(letter) || letter == '-' || letter == '.' || letter == '_')
-                result += static_cast<char>(letter);
-            else
-                (result += '%').append({ digits[letter >> 4], digits[letter & 15] });
-        }
-        return result;
-    }
-
     std::string numberText(double number)
     {
         std::ostringstream out;
@@ -137,7 +125,7 @@
     nlohmann::json answers = nlohmann::json::object();
     std::size_t answered = 0;
     for (const std::string& address : context.admins) {
-        const auto text = context.adminGet(address, "/explain?id=" + percentEncoded(arguments[0]));
+        const auto text = context.adminGet(address, "/explain?id=" + urlEscaped(arguments[0]));
         answered += text ? 1 : 0;
         if (context.json)
             answers[address] = text ? nlohmann::json(*text) : nlohmann::json();
--- a/src/etcd_codec.h
+++ b/src/etcd_codec.h
@@ -23,8 +23,6 @@
 std::string etcdWatchBody(const std::string& prefix, Revision from);
 StoreReply parseEtcdAnswer(const StoreRequest& request, const HttpResult& result);
 std::optional<EtcdWatchMessage> parseEtcdWatchLine(std::string_view line);
-std::string base64Encode(std::string_view bytes);
-std::optional<std::string> base64Decode(std::string_view text);
 std::string prefixEnd(std::string prefix);
 
 } // namespace sp
--- a/src/fuzz/fuzz_store_answer.cpp
+++ b/src/fuzz/fuzz_store_answer.cpp
@@ -1,3 +1,4 @@
+#include "base64_func.h"
 #include "etcd_codec.h"
 
 #include <array>
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -33,6 +33,15 @@
 
 } // namespace
 
+/** Text as part of a URL. @param text Any bytes. @return Text in which reserved bytes are percent-encoded. */
+std::string urlEscaped(const std::string& text)
+{
+    char* raw = curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
+    std::string out = raw ? raw : "";
+    curl_free(raw);
+    return out;
+}
+
 /** State of one call and its libcurl handle, which is used again for later calls. */
 struct HttpClient::Transfer {
     CURL* easy = curl_easy_init();
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -16,6 +16,8 @@
 
 namespace sp {
 
+std::string urlEscaped(const std::string& text);
+
 /** One call. */
 struct HttpRequest {
     std::string url;
--- a/tests/test_etcd_store.cpp
+++ b/tests/test_etcd_store.cpp
@@ -1,5 +1,6 @@
 #include "doctest_main.h"
 
+#include "base64_func.h"
 #include "etcd_store.h"
 #include "fake_server.h"
 
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -1,6 +1,7 @@
 #include "doctest_main.h"
 
 #include "entry_settings.h"
+#include "error_func.h"
 #include "wire.h"
 
 using namespace sp;
@@ -189,3 +190,12 @@
         },
         [] { FAIL("not decoded"); });
 }
+
+// The result used to be made before anything waited for its error, and the reason was gone.
+TEST_CASE("a body that can't be read comes with a reason")
+{
+    std::string reason;
+    const auto report = valueOr([] { return decodeReport("{}"); }, [&](const std::string& text) { reason = text; });
+    CHECK_FALSE(report);
+    CHECK(reason.find("running") != std::string::npos);
+}
