Codechange: shared lookups, one place for a run's removal and for a new owner; fields that nothing read are gone

openTask, specOf, noteBegun, tasksWhere and learnOwner replace copies; saving constants stand once; times that functions did not use are no longer passed. The lazy save of ends after an eager one had no effect and went.

--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -65,7 +65,6 @@
     JobState shownState = JobState::Queued; ///< What callers see: final states only once they are stored.
     bool stored = false; ///< The job is in the store.
     bool begun = false; ///< A task has started.
-    bool cancelRequested = false;
     std::map<std::uint32_t, OccurrenceState> occurrences; ///< Those that have begun and not ended.
     std::uint32_t occurrencesEnded = 0; ///< All below this number have ended.
     Time submittedAt {};
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds saveSoon { 4 }; ///< Lets records of one moment share a transaction.
-
-    constexpr std::size_t advisedTargets = 30; ///< Targets that an objective's call for advice is reckoned with.
     constexpr std::size_t writesPerJob = 2; ///< Record, and specification written or removed.
     constexpr std::size_t removalsPerBatch = 8; ///< Old records removed along with others.
     constexpr std::chrono::milliseconds stalledRetry {
@@ -71,6 +68,36 @@
     return it == m_jobs.end() ? nullptr : it->second.get();
 }
 
+/** Job that has not ended. @param id Job. @return Job, null if it is not known or has ended. */
+CellJob* CellOwner::findOpen(const JobId& id) const
+{
+    CellJob* job = find(id);
+    return job && !isFinal(job->state) ? job : nullptr;
+}
+
+/** Task of a job that has not ended. @param key Task. @return Task, null if there is none. */
+TaskState* CellOwner::openTask(const CellTaskKey& key) const
+{
+    CellJob* job = findOpen(key.job);
+    return job ? job->task(key) : nullptr;
+}
+
+/** What a task's step asks for, also after the job's end. @param key Task. @return Step, null if it is not known. */
+const StepSpec* CellOwner::specOf(const CellTaskKey& key) const
+{
+    const CellJob* job = find(key.job);
+    return job && key.step < job->spec.steps.size() ? &job->spec.steps[key.step] : nullptr;
+}
+
+/** A task of a job has started. @param id Job. */
+void CellOwner::noteBegun(const JobId& id)
+{
+    if (CellJob* job = find(id); job && !job->begun) {
+        job->begun = true;
+        job->state = JobState::Running;
+    }
+}
+
 /** Whether the ownership is certain; without that nothing is ordered. @param mayOrder Whether it is. */
 void CellOwner::setMayOrder(bool mayOrder)
 {
@@ -182,7 +209,7 @@
     const QueueConfig* queue = queueOf(job);
     std::chrono::milliseconds perStep { 0 };
     if (queue && queue->advisor)
-        perStep = std::chrono::duration_cast<std::chrono::milliseconds>(queue->advisor->callTime(advisedTargets));
+        perStep = std::chrono::duration_cast<std::chrono::milliseconds>(queue->advisor->callTime(mostAdvised));
     const auto chain = longestChain(job.spec.steps, perStep);
     job.objective = std::chrono::milliseconds(static_cast<std::int64_t>(
                         (queue ? queue->slackFactor : 1.0) * static_cast<double>(chain.count())))
@@ -268,7 +295,6 @@
             job.shownState = job.state;
     });
     job.occurrences.clear();
-    markDirty(job, now, saveSoon);
 }
 
 /**
@@ -289,10 +315,8 @@
         reply({ JobAnswer::Kind::Ok, {}, "already ended" });
         return;
     }
-    if (!isFinal(job->state)) {
-        job->cancelRequested = true;
+    if (!isFinal(job->state))
         finish(*job, JobState::Cancelled, now);
-    }
     runWhenSaved(*job, [reply = std::move(reply)](bool saved) {
         reply({ saved ? JobAnswer::Kind::Ok : JobAnswer::Kind::Unknown, {}, "the owner changed before it was stored" });
     });
@@ -330,11 +354,7 @@
 void CellOwner::runWhenSaved(CellJob& job, std::function<void(bool)>&& effect)
 {
     job.onSaved.push_back(std::move(effect));
-    if (!job.dirty) {
-        job.dirty = true;
-        m_dirty.push_back(&job);
-    }
-    m_hooks.flush(m_now + saveSoon);
+    markDirty(job, m_now, saveSoon);
 }
 
 /** Takes the records that wait to be written. @param limit Most writes. @return Writes; empty if nothing waits. */
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -94,6 +94,7 @@
     std::vector<StoreKeyValue> specs;
 };
 
+/** Owner of a cell: one on each host, active on the host that has won the cell. Not thread-safe. */
 class CellOwner {
 public:
     using JobReply = std::function<void(JobAnswer&&)>;
@@ -131,6 +132,9 @@
     std::string statusText(Time now) const;
 
 private:
+    static constexpr std::chrono::milliseconds saveSoon { 4 }; ///< Lets records of one moment share a transaction.
+    static constexpr std::chrono::milliseconds saveLazily { 400 }; ///< For progress that nothing waits for.
+    static constexpr std::size_t mostAdvised = 30; ///< Targets of one question; objectives are reckoned with as many.
     static constexpr std::chrono::milliseconds lookWait { 1500 }; ///< Renews a lease several times before its end.
     static constexpr std::chrono::milliseconds lookPause { 120 }; ///< Ends of one step come close together.
 
@@ -141,6 +145,9 @@
         int priority = 0;
         bool late = false; ///< Can't earn anything any more.
         Time order {};
+
+        StepKey stepKey() const { return { job->spec.id, occurrence, step }; }
+        CellTaskKey taskKey(std::uint32_t index) const { return { job->spec.id, occurrence, step, index }; }
     };
 
     // Records.
@@ -151,6 +158,10 @@
 
     // Jobs.
     CellJob* find(const JobId& id) const;
+    CellJob* findOpen(const JobId& id) const;
+    TaskState* openTask(const CellTaskKey& key) const;
+    const StepSpec* specOf(const CellTaskKey& key) const;
+    void noteBegun(const JobId& id);
     const QueueConfig* queueOf(const CellJob& job) const;
     ServiceId serviceOf(const CellJob& job) const;
     int priorityOf(const CellJob& job) const;
@@ -177,9 +188,9 @@
     CellTarget& targetFor(const TargetId& id);
     void orderStart(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     void beginStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, const char* reason, Time now);
-    void orderStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
+    void orderStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant);
     void runGone(CellTarget& target, const CellTaskKey& key, const char* reason, Time now);
-    void unanswered(CellTarget& target, Time now);
+    void unanswered(CellTarget& target);
     void lookSoon(CellTarget& target, Time at);
     void look(CellTarget& target, Time now);
     void takeEnds(CellTarget& target, const RunReport& report, Time now);
@@ -200,7 +211,7 @@
     std::vector<ReadyStep> readySteps(Time now);
     void placeStep(const ReadyStep& ready, Time now);
     std::vector<PlacementOption> optionsFor(const CellJob& job, const StepState& state, const StepSpec& step, Time now);
-    Occupant occupantOf(const CellJob& job, const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now) const;
+    static Occupant occupantOf(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now);
     void assign(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
     void considerAdvice(CellJob& job, const StepKey& key, Time now);
     void placeGangStep(const ReadyStep& ready, std::vector<PlacementOption>& options, Time now);
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds saveSoon { 4 }; ///< Lets records of one moment share a transaction.
-    constexpr std::chrono::milliseconds saveLazily { 400 }; ///< For progress that nothing waits for.
     constexpr std::chrono::milliseconds ticketMargin {
         300
     }; ///< A start follows its decision by a store write and a call.
@@ -18,7 +16,6 @@
     constexpr std::chrono::milliseconds adviceIdle {
         40
     }; ///< Between looks for targets to ask about, while all are full.
-    constexpr std::size_t mostAdvised = 30; ///< Targets of one question; the objective is reckoned with as many.
     constexpr double adviceSurplus = 1.3; ///< Room asked for beyond the need, since others place meanwhile.
     constexpr double unknownAllowedShare = 0.5; ///< Assumed until a queue's advisor has answered.
     constexpr double leastAllowedShare = 0.1; ///< Keeps one bad answer from asking for everything.
@@ -181,7 +178,7 @@
 void CellOwner::placeStep(const ReadyStep& ready, Time now)
 {
     CellJob& job = *ready.job;
-    const StepKey stepKey { job.spec.id, ready.occurrence, ready.step };
+    const StepKey stepKey = ready.stepKey();
     StepState& state = *job.step(stepKey);
     const StepSpec& spec = job.spec.steps[ready.step];
     std::vector<PlacementOption> options = optionsFor(job, state, spec, now);
@@ -189,9 +186,6 @@
         placeGangStep(ready, options, now);
         return;
     }
-    const auto keyOf = [&](std::uint32_t index) {
-        return CellTaskKey { job.spec.id, ready.occurrence, ready.step, index };
-    };
     bool left = false;
     for (std::uint32_t i = 0; i < spec.tasks; ++i) {
         TaskState& task = state.tasks[i];
@@ -204,7 +198,7 @@
         }
         option->room -= spec.reserved();
         ++option->sameStep;
-        assign(job, keyOf(i), *option->target, now);
+        assign(job, ready.taskKey(i), *option->target, now);
     }
     if (left)
         considerAdvice(job, stepKey, now);
@@ -214,12 +208,9 @@
 void CellOwner::placeGangStep(const ReadyStep& ready, std::vector<PlacementOption>& options, Time now)
 {
     CellJob& job = *ready.job;
-    const StepKey stepKey { job.spec.id, ready.occurrence, ready.step };
+    const StepKey stepKey = ready.stepKey();
     StepState& state = *job.step(stepKey);
     const StepSpec& spec = job.spec.steps[ready.step];
-    const auto keyOf = [&](std::uint32_t index) {
-        return CellTaskKey { job.spec.id, ready.occurrence, ready.step, index };
-    };
     std::uint32_t run = 0; // All members of a run share its number.
     std::uint32_t placed = 0;
     for (const TaskState& task : state.tasks) {
@@ -234,7 +225,7 @@
         }
         for (std::uint32_t i = 0; i < spec.tasks; ++i) {
             state.tasks[i].run = run;
-            assign(job, keyOf(i), *chosen[i], now);
+            assign(job, ready.taskKey(i), *chosen[i], now);
         }
         return;
     }
@@ -245,15 +236,16 @@
         if (PlacementOption* option = chooseOption(options, { &spec, &task.avoid, {} })) {
             option->room -= spec.reserved();
             ++option->sameStep;
-            assign(job, keyOf(i), *option->target, now);
+            assign(job, ready.taskKey(i), *option->target, now);
             continue;
         }
         // Without a place for this member the others would wait in vain.
         for (std::uint32_t other = 0; other < spec.tasks; ++other) {
             CellTarget* target = state.tasks[other].target;
-            const auto it = target ? target->occupants.find(keyOf(other)) : decltype(target->occupants.end()) {};
+            const auto it
+                = target ? target->occupants.find(ready.taskKey(other)) : decltype(target->occupants.end()) {};
             if (target && it != target->occupants.end() && it->second.phase != RunPhase::Recording)
-                beginStop(*target, keyOf(other), it->second, "no room for the whole gang", now);
+                beginStop(*target, ready.taskKey(other), it->second, "no room for the whole gang", now);
         }
         task.run = run;
         return;
@@ -261,8 +253,7 @@
 }
 
 /** What a run of a task takes on its target. */
-Occupant CellOwner::occupantOf(
-    const CellJob& job, const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now) const
+Occupant CellOwner::occupantOf(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now)
 {
     Occupant occupant;
     occupant.run = run;
@@ -273,7 +264,6 @@
     occupant.serves = spec.tailTarget.count() > 0;
     occupant.lasting = spec.lasting;
     occupant.estimate = spec.estimate;
-    occupant.priority = priorityOf(job);
     occupant.since = now;
     return occupant;
 }
@@ -286,7 +276,7 @@
     ++task.run;
     task.target = &target;
     task.recordedTarget = target.id();
-    target.occupy(key, occupantOf(job, spec, task.run, RunPhase::Recording, now));
+    target.occupy(key, occupantOf(spec, task.run, RunPhase::Recording, now));
     m_waitSeconds.record(now - task.waitingSince);
     LogLine(LogLevel::Info, "task_placed")
         .with("task", taskText(key))
@@ -377,8 +367,8 @@
 void CellOwner::onAdvice(const AdviceQuestion& question, const AdviceReply& reply, Time now)
 {
     m_now = now;
-    CellJob* job = m_active ? find(question.step.job) : nullptr;
-    StepState* state = job && !isFinal(job->state) ? job->step(question.step) : nullptr;
+    CellJob* job = m_active ? findOpen(question.step.job) : nullptr;
+    StepState* state = job ? job->step(question.step) : nullptr;
     if (!state)
         return;
     StepAdvice& advice = state->advice;
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -42,25 +42,24 @@
 {
     const std::uint32_t run = target.occupants.at(key).run;
     runGone(target, key, reason, now);
-    CellJob* job = find(key.job);
-    TaskState* task = job && !isFinal(job->state) ? job->task(key) : nullptr;
+    TaskState* task = openTask(key);
     // The other members of a gang are waiting under this number; it is used again.
-    if (task && task->waiting() && task->run == run && job->spec.steps[key.step].gang)
+    if (task && task->waiting() && task->run == run && specOf(key)->gang)
         --task->run;
 }
 
 /** Sends a start order, again under the same run number if an earlier one had no answer. */
 void CellOwner::orderStart(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now)
 {
-    CellJob* job = find(key.job);
-    TaskState* task = job ? job->task(key) : nullptr;
-    const StepState* step = job ? job->step(key.stepKey()) : nullptr;
-    if (!task || isFinal(job->state) || occupant.tries >= startTries) {
-        beginStop(target, key, occupant, task && !isFinal(job->state) ? "start not answered" : "job ended", now);
+    CellJob* job = findOpen(key.job);
+    const TaskState* task = job ? job->task(key) : nullptr;
+    if (!task || occupant.tries >= startTries) {
+        beginStop(target, key, occupant, task ? "start not answered" : "job ended", now);
         return;
     }
     StartOrder order { key, occupant.run, job->spec.payload, task->checkpoint, {}, {}, m_token };
-    if (const auto it = step->advice.allowed.find(target.id()); it != step->advice.allowed.end())
+    const auto& allowed = job->step(key.stepKey())->advice.allowed;
+    if (const auto it = allowed.find(target.id()); it != allowed.end())
         order.ticket = it->second.ticket;
     order.leaseUntil = target.clockAtLeast(now) + holdTime();
     target.leaseSent = std::max(target.leaseSent, order.leaseUntil);
@@ -88,10 +87,10 @@
     occupant.retryAt = now;
     occupant.stopReason = reason;
     if (m_mayOrder && !target.entry.address.empty() && !occupant.orderOpen)
-        orderStop(target, key, occupant, now);
+        orderStop(target, key, occupant);
 }
 
-void CellOwner::orderStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time /*now*/)
+void CellOwner::orderStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant)
 {
     ++occupant.tries;
     occupant.orderOpen = true;
@@ -114,7 +113,7 @@
         .with("result", orderResultName(answer.result))
         .with("try", occupant.tries);
     if (answer.result == OrderResult::Lost || answer.result == OrderResult::NotSent)
-        unanswered(*target, now);
+        unanswered(*target);
     if (occupant.phase != RunPhase::Ordered) {
         // A stop was decided meanwhile; it is ordered now that the start is answered.
         occupant.retryAt = now;
@@ -127,10 +126,7 @@
         occupant.confirmedAt = now;
         occupant.progressAt = now;
         occupant.unsure = false;
-        if (job && !job->begun) {
-            job->begun = true;
-            job->state = JobState::Running;
-        }
+        noteBegun(key.job);
         if (target->occupants.size() == 1)
             target->nextLookAt = now + lookPause;
         lookSoon(*target, now + lookWait);
@@ -188,7 +184,7 @@
     Occupant& occupant = *found;
     occupant.orderOpen = false;
     if (answer.result == OrderResult::Lost || answer.result == OrderResult::NotSent) {
-        unanswered(*target, now);
+        unanswered(*target);
         occupant.retryAt = now + orderRetry * std::min(occupant.tries, 10);
         return;
     }
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -11,7 +11,6 @@
 
     constexpr int holdPercent = 60; ///< Share of the longest lease: runs on a silent target are taken for ended sooner.
     constexpr std::chrono::milliseconds clockMargin { 300 }; ///< Answers in flight and rounding of clock readings.
-    constexpr std::chrono::milliseconds saveLazily { 400 }; ///< For ends that only their target waits for.
     constexpr std::chrono::milliseconds guardedLookWait { 500 }; ///< A tail is a figure of the last half second.
     constexpr std::chrono::milliseconds lookRetry { 250 }; ///< After a look without an answer; doubles up to a second.
     constexpr std::chrono::milliseconds longestLookRetry {
@@ -83,7 +82,6 @@
             dropLife(*target, "its machine runs another life", now);
         if (settled && target->listed && !listed.contains(id)) {
             target->listed = false;
-            target->missingSince = now;
             LogLine(LogLevel::Warning, "target_missing").with("target", id).with("runs", target->occupants.size());
         }
     }
@@ -112,16 +110,11 @@
 {
     if (target.leavesAt == Time {})
         return;
-    std::vector<CellTaskKey> moved;
-    for (const auto& [key, occupant] : target.occupants) {
-        if (occupant.phase != RunPhase::Running)
-            continue;
-        const bool lastCall = now >= target.leavesAt - m_bounds.stopTimeout - evacuationMargin;
-        if (occupant.lasting || (occupant.checkpointing && lastCall))
-            moved.push_back(key);
+    const bool lastCall = now >= target.leavesAt - m_bounds.stopTimeout - evacuationMargin;
+    for (auto& [key, occupant] : target.occupants) {
+        if (occupant.phase == RunPhase::Running && (occupant.lasting || (occupant.checkpointing && lastCall)))
+            beginStop(target, key, occupant, "target leaves", now);
     }
-    for (const CellTaskKey& key : moved)
-        beginStop(target, key, target.occupants.at(key), "target leaves", now);
 }
 
 /**
@@ -152,11 +145,9 @@
 /** A life of a target is certainly over, and another one has its machine: all that ran there has ended. */
 void CellOwner::dropLife(CellTarget& target, const char* reason, Time now)
 {
-    std::vector<CellTaskKey> lost;
-    for (const auto& [key, occupant] : target.occupants) {
-        if (occupant.phase != RunPhase::Recording && !(occupant.phase == RunPhase::Ordered && occupant.orderOpen))
-            lost.push_back(key);
-    }
+    const auto lost = target.tasksWhere([](const CellTaskKey&, const Occupant& occupant) {
+        return occupant.phase != RunPhase::Recording && !(occupant.phase == RunPhase::Ordered && occupant.orderOpen);
+    });
     for (const CellTaskKey& key : lost)
         runGone(target, key, reason, now);
 }
@@ -179,15 +170,13 @@
 
 void CellOwner::requeueIfAlive(const CellTaskKey& key, std::uint32_t run, Time now)
 {
-    CellJob* job = find(key.job);
-    TaskState* task = job && !isFinal(job->state) ? job->task(key) : nullptr;
-    if (task && !task->done && task->run == run)
-        requeue(*job, key, now);
+    if (const TaskState* task = openTask(key); task && !task->done && task->run == run)
+        requeue(*find(key.job), key, now);
     m_dispatchDue = true;
     wake(now);
 }
 
-void CellOwner::unanswered(CellTarget& target, Time /*now*/)
+void CellOwner::unanswered(CellTarget& target)
 {
     if (++target.unanswered == CellTarget::silentAfterCalls)
         LogLine(LogLevel::Warning, "target_silent").with("target", target.id()).with("runs", target.occupants.size());
@@ -221,21 +210,16 @@
 void CellOwner::sweepTarget(CellTarget& target, Time now)
 {
     if (target.heardAt != Time {} && target.lapsed(now) && target.silent()) {
-        std::vector<CellTaskKey> lapsed;
-        for (const auto& [key, occupant] : target.occupants) {
-            if (occupant.phase != RunPhase::Recording)
-                lapsed.push_back(key);
-        }
+        const auto lapsed = target.tasksWhere(
+            [](const CellTaskKey&, const Occupant& occupant) { return occupant.phase != RunPhase::Recording; });
         for (const CellTaskKey& key : lapsed)
             runGone(target, key, "lease lapsed", now);
         target.reported = target.reported && lapsed.empty();
     }
     // A target that never answered: what a former owner left there.
-    if (target.heardAt == Time {} && now >= target.lapsesBy && !target.occupants.empty()) {
-        while (!target.occupants.empty()) {
-            const CellTaskKey key = target.occupants.begin()->first; // The entry goes away.
+    if (target.heardAt == Time {} && now >= target.lapsesBy) {
+        for (const CellTaskKey& key : target.tasksWhere([](const CellTaskKey&, const Occupant&) { return true; }))
             runGone(target, key, "lease of a former owner lapsed", now);
-        }
     }
     if (!m_mayOrder || target.entry.address.empty())
         return;
@@ -247,7 +231,7 @@
         if (occupant.phase == RunPhase::Ordered && occupant.confirmedAt == Time {} && target.reported)
             orderStart(target, key, occupant, now);
         else if (occupant.phase == RunPhase::Stopping && occupant.confirmedAt == Time {})
-            orderStop(target, key, occupant, now);
+            orderStop(target, key, occupant);
     }
     const bool ends = target.endsSaved() > target.endsAcknowledged;
     if (!target.lookOpen && now >= target.nextLookAt && (!target.reported || !target.occupants.empty() || ends))
@@ -268,7 +252,7 @@
         return;
     }
     if (answer.result != OrderResult::Done) {
-        unanswered(*target, now);
+        unanswered(*target);
         target->nextLookAt = now + std::min(longestLookRetry, lookRetry * target->unanswered);
         return;
     }
@@ -349,7 +333,7 @@
     }
     m_dispatchDue = true;
     CellJob* job = find(end.task.job);
-    TaskState* task = job && !isFinal(job->state) ? job->task(end.task) : nullptr;
+    TaskState* task = openTask(end.task);
     if (!task || task->done || task->run != end.run) {
         // Nothing depends on this end any more, once the store knows it, too.
         if (job && (job->dirty || job->writing))
@@ -361,7 +345,6 @@
     if (!known && end.kind != EndKind::Done)
         return;
     runWhenSaved(*job, acknowledgement(target, end.number));
-    markDirty(*job, now, saveLazily);
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
     switch (end.kind) {
@@ -401,10 +384,7 @@
             occupant.phase = RunPhase::Running;
             occupant.unsure = false;
             occupant.progressAt = now;
-            if (CellJob* job = find(row.task.job); job && !job->begun) {
-                job->begun = true;
-                job->state = JobState::Running;
-            }
+            noteBegun(row.task.job);
         }
         if (occupant.confirmedAt == Time {} && occupant.phase == RunPhase::Running)
             occupant.confirmedAt = now;
@@ -419,12 +399,10 @@
     }
     if (report.endsCut)
         return;
-    std::vector<CellTaskKey> vanished;
-    for (const auto& [key, occupant] : target.occupants) {
+    const auto vanished = target.tasksWhere([&](const CellTaskKey& key, const Occupant& occupant) {
         const bool confirmedBefore = occupant.confirmedAt != Time {} && occupant.confirmedAt < sentAt;
-        if (!seen.contains(key) && (confirmedBefore || occupant.phase == RunPhase::Recovered))
-            vanished.push_back(key);
-    }
+        return !seen.contains(key) && (confirmedBefore || occupant.phase == RunPhase::Recovered);
+    });
     for (const CellTaskKey& key : vanished)
         runGone(target, key, "not there", now);
 }
@@ -439,9 +417,8 @@
     Occupant occupant;
     occupant.run = row.run;
     occupant.phase = RunPhase::Running;
-    const CellJob* job = find(row.task.job);
-    if (job && row.task.step < job->spec.steps.size())
-        occupant.taken = job->spec.steps[row.task.step].reserved();
+    if (const StepSpec* spec = specOf(row.task))
+        occupant.taken = spec->reserved();
     else // Its size went with the specification; until it is gone the rest of the target may be taken.
         occupant.taken = target.room();
     target.occupy(row.task, occupant);
@@ -451,21 +428,17 @@
 /** Stops runs that have stood still for too long, so that their tasks go elsewhere. */
 void CellOwner::checkStall(CellTarget& target, Time now)
 {
-    std::vector<CellTaskKey> stalled;
-    for (const auto& [key, occupant] : target.occupants) {
-        const CellJob* job = find(key.job);
-        const bool gang = job && key.step < job->spec.steps.size() && job->spec.steps[key.step].gang;
+    for (auto& [key, occupant] : target.occupants) {
+        const StepSpec* spec = specOf(key);
         const bool exempt = occupant.fills || (occupant.lasting && occupant.percent >= 100);
         // The members of a gang make no progress before all of them are there.
-        const auto limit = gang ? stallTime + m_bounds.gangTimeout : stallTime;
-        if (occupant.phase == RunPhase::Running && !exempt && now - occupant.progressAt > limit)
-            stalled.push_back(key);
-    }
-    for (const CellTaskKey& key : stalled) {
+        const auto limit = spec && spec->gang ? stallTime + m_bounds.gangTimeout : stallTime;
+        if (occupant.phase != RunPhase::Running || exempt || now - occupant.progressAt <= limit)
+            continue;
         CellJob* job = find(key.job);
         if (TaskState* task = job ? job->task(key) : nullptr) {
             task->avoid.insert(target.id());
-            beginStop(target, key, target.occupants.at(key), "stalled", now);
+            beginStop(target, key, occupant, "stalled", now);
         }
     }
 }
@@ -477,8 +450,8 @@
     for (const auto& [key, occupant] : target.occupants) {
         if (!occupant.serves || occupant.phase != RunPhase::Running)
             continue;
-        if (const CellJob* job = find(key.job); job && key.step < job->spec.steps.size())
-            tails.push_back({ std::chrono::milliseconds(occupant.gauge), job->spec.steps[key.step].tailTarget });
+        if (const StepSpec* spec = specOf(key))
+            tails.push_back({ std::chrono::milliseconds(occupant.gauge), spec->tailTarget });
     }
     if (tails.empty())
         return;
--- a/src/cell_recovery.cpp
+++ b/src/cell_recovery.cpp
@@ -58,7 +58,7 @@
                     const StepSpec& spec = job.spec.steps[s];
                     CellTarget& target = targetFor(task.recordedTarget);
                     task.target = &target;
-                    const Occupant occupant = occupantOf(job, spec, task.run, RunPhase::Recovered, now);
+                    const Occupant occupant = occupantOf(spec, task.run, RunPhase::Recovered, now);
                     target.occupy({ id, number, s, i }, occupant);
                     ++unsure;
                 }
--- a/src/cell_session.cpp
+++ b/src/cell_session.cpp
@@ -61,9 +61,9 @@
         LogLine(LogLevel::Warning, "store_lost").with("silent_ms", toMs(now - m_heardAt));
     }
     if (!m_synced && !m_syncing && now >= m_syncRetryAt)
-        beginSync(now);
+        beginSync();
     if (m_synced && !m_watching && now >= m_watchRetryAt)
-        beginWatch(now);
+        beginWatch();
     if (!m_leaseOpen && now >= m_leaseRetryAt) {
         if (m_lease.value == 0)
             grant(now);
@@ -71,7 +71,7 @@
             keepAlive(now);
     }
     if (m_lease.value != 0 && m_synced && !m_memberShown && !m_memberOpen && !m_leaseOpen)
-        showMember(now);
+        showMember();
     const bool ownOldKey = m_owner && m_owner->host == m_config.self && m_owner->address == m_config.address;
     const bool free = !m_owner || ownOldKey || m_owner->revision == m_dead;
     const bool mayClaim
@@ -88,7 +88,7 @@
     }
 }
 
-void CellSession::beginSync(Time /*now*/)
+void CellSession::beginSync()
 {
     m_syncing = true;
     ++m_syncRound;
@@ -127,7 +127,7 @@
             m_syncing = false;
             m_synced = true;
             std::vector<std::string> gone;
-            for (const auto& [key, item] : m_known) {
+            for (const auto& [key, revision] : m_known) {
                 if (!m_reading.contains(key))
                     gone.push_back(key);
             }
@@ -140,7 +140,7 @@
         });
 }
 
-void CellSession::beginWatch(Time /*now*/)
+void CellSession::beginWatch()
 {
     m_watching = true;
     m_hooks.watch({ m_config.watchPrefix, m_revision, watchWait },
@@ -176,16 +176,16 @@
 
 void CellSession::apply(const StoreKeyValue& item, Time now)
 {
-    StoreKeyValue& known = m_known[item.key];
-    if (known.modRevision.value >= item.modRevision.value && known.modRevision.value != 0)
+    Revision& known = m_known[item.key];
+    if (known.value >= item.modRevision.value && known.value != 0)
         return;
-    known = { item.key, {}, item.modRevision };
+    known = item.modRevision;
     if (item.key.starts_with(m_config.operatorPrefix)) {
         m_hooks.operatorChanged(item.key, item);
     } else if (item.key == ownerKey()) {
         tookOwnerKey(item, now);
-    } else if (item.key.starts_with(m_config.ownPrefix + "node/")) {
-        const HostId host(item.key.substr(m_config.ownPrefix.size() + 5));
+    } else if (item.key.starts_with(memberPrefix())) {
+        const HostId host(item.key.substr(memberPrefix().size()));
         proto::NodeRecord record;
         if (!record.ParseFromString(item.value)) {
             LogLine(LogLevel::Error, "member_record_unreadable").with("key", item.key);
@@ -206,8 +206,8 @@
     } else if (key == memberKey()) {
         m_memberShown = false; // The lease has ended, or the store took the key away.
         m_members.erase(m_config.self);
-    } else if (key.starts_with(m_config.ownPrefix + "node/")) {
-        const HostId host(key.substr(m_config.ownPrefix.size() + 5));
+    } else if (key.starts_with(memberPrefix())) {
+        const HostId host(key.substr(memberPrefix().size()));
         m_members.erase(host);
         LogLine(LogLevel::Warning, "member_gone").with("host", host);
     }
@@ -229,12 +229,19 @@
         LogLine(LogLevel::Error, "owner_record_unreadable").with("revision", item->modRevision);
         return;
     }
-    if (m_owner && m_owner->revision.value >= item->modRevision.value)
+    learnOwner({ HostId(record.node()), record.address(), item->modRevision }, "owner_seen",
+        "another owner has claimed the cell");
+}
+
+/** Takes an owner that is newer than the known one. An ownership of this host that is older has ended. */
+void CellSession::learnOwner(const CellOwnerInfo& owner, const char* event, const char* lostReason)
+{
+    if (m_owner && m_owner->revision.value >= owner.revision.value)
         return;
-    m_owner = CellOwnerInfo { HostId(record.node()), record.address(), item->modRevision };
-    LogLine(LogLevel::Info, "owner_seen").with("host", m_owner->host).with("token", m_owner->revision);
-    if (owning() && m_token.value < item->modRevision.value)
-        lose("another owner has claimed the cell");
+    m_owner = owner;
+    LogLine(LogLevel::Info, event).with("host", owner.host).with("token", owner.revision);
+    if (owning() && m_token.value < owner.revision.value)
+        lose(lostReason);
 }
 
 void CellSession::lose(const std::string& reason)
@@ -288,7 +295,7 @@
     });
 }
 
-void CellSession::showMember(Time /*now*/)
+void CellSession::showMember()
 {
     proto::NodeRecord record;
     record.set_address(m_config.address);
@@ -379,12 +386,7 @@
 /** Another host knows of an owner. @param owner Owner; one that is not newer than the known one is ignored. */
 void CellSession::ownerHeard(const CellOwnerInfo& owner)
 {
-    if (m_owner && m_owner->revision.value >= owner.revision.value)
-        return;
-    LogLine(LogLevel::Info, "owner_heard").with("host", owner.host).with("token", owner.revision);
-    m_owner = owner;
-    if (owning() && m_token.value < owner.revision.value)
-        lose("another host tells of a newer owner");
+    learnOwner(owner, "owner_heard", "another host tells of a newer owner");
 }
 
 std::chrono::milliseconds CellSession::keepInterval() const
@@ -392,8 +394,8 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_config.leaseTtl) / keepsPerLease;
 }
 
-/** Gives the cell up, so that another host can claim it at once. @param reason Why. @param now Present time. */
-void CellSession::resign(const std::string& reason, Time /*now*/)
+/** Gives the cell up, so that another host can claim it at once. @param reason Why. */
+void CellSession::resign(const std::string& reason)
 {
     if (!owning())
         return;
--- a/src/cell_session.h
+++ b/src/cell_session.h
@@ -59,7 +59,7 @@
     std::optional<Time> wakeAt() const { return m_wakeAt; }
     void setEligible(bool eligible) { m_eligible = eligible; }
     void abstain(Time until) { m_abstainUntil = until; }
-    void resign(const std::string& reason, Time now);
+    void resign(const std::string& reason);
     void ownerRefused(Time now);
     void ownerHeard(const CellOwnerInfo& owner);
 
@@ -72,23 +72,25 @@
     const std::optional<CellOwnerInfo>& owner() const { return m_owner; }
 
 private:
-    void beginSync(Time now);
+    void beginSync();
     void readPage(const std::string& after);
-    void beginWatch(Time now);
+    void beginWatch();
     void takeWatch(StoreWatchReply&& reply, Time now);
     void apply(const StoreKeyValue& item, Time now);
     void applyRemoval(const std::string& key, Time now);
     void grant(Time now);
     void keepAlive(Time now);
-    void showMember(Time now);
+    void showMember();
     void claim(Time now);
     void tookOwnerKey(const std::optional<StoreKeyValue>& item, Time now);
+    void learnOwner(const CellOwnerInfo& owner, const char* event, const char* lostReason);
     void lose(const std::string& reason);
     void heard(const StoreReply& reply, Time now);
     std::chrono::milliseconds claimDelay() const;
     std::chrono::milliseconds keepInterval() const;
     std::string ownerKey() const { return m_config.ownPrefix + "owner"; }
-    std::string memberKey() const { return m_config.ownPrefix + "node/" + m_config.self.value; }
+    std::string memberPrefix() const { return m_config.ownPrefix + "node/"; }
+    std::string memberKey() const { return memberPrefix() + m_config.self.value; }
 
     const CellSessionConfig m_config;
     const CellSessionHooks m_hooks;
@@ -102,7 +104,7 @@
     Time m_syncRetryAt {};
     std::uint64_t m_syncRound = 0;
     Revision m_revision;
-    std::map<std::string, StoreKeyValue> m_known; ///< Keys under the watched prefix, without values.
+    std::map<std::string, Revision> m_known; ///< Keys under the watched prefix, with their last change.
     std::map<std::string, StoreKeyValue> m_reading;
     bool m_watching = false;
     Time m_watchRetryAt {};
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace sp {
 
@@ -23,7 +24,6 @@
     std::uint32_t run = 0;
     RunPhase phase = RunPhase::Recording;
     Resources taken;
-    int priority = 0; ///< Of the queue.
     bool checkpointing = false;
     bool fills = false;
     bool serves = false; ///< Has a tail of response times to keep.
@@ -48,7 +48,6 @@
 struct CellTarget {
     TargetEntry entry;
     bool listed = false; ///< In the latest list of targets.
-    Time missingSince {}; ///< When it was first missing from the list, unless listed.
     Time leavesAt {}; ///< Earliest time at which a draining target may be gone; unset otherwise.
     Resources used;
     std::unordered_map<CellTaskKey, Occupant> occupants;
@@ -78,6 +77,17 @@
     double slowness = 1; ///< Observed run time relative to the estimate, compared with other targets.
 
     const TargetId& id() const { return entry.id; }
+
+    /** Tasks whose runs fulfil a condition, so that the runs can be removed one by one. */
+    template <typename Condition> std::vector<CellTaskKey> tasksWhere(Condition condition) const
+    {
+        std::vector<CellTaskKey> tasks;
+        for (const auto& [key, occupant] : occupants) {
+            if (condition(key, occupant))
+                tasks.push_back(key);
+        }
+        return tasks;
+    }
     Resources room() const { return entry.capacity - used; }
     void occupy(const CellTaskKey& key, const Occupant& occupant);
     void release(const CellTaskKey& key);
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -59,7 +59,6 @@
     std::vector<QueueConfig> queues;
     std::vector<ServiceConfig> services;
     std::size_t maxBodyBytes = 262144; ///< Largest request body.
-    std::chrono::milliseconds idleTimeout { 15000 }; ///< Idle caller connections are closed after this time.
 
     const QueueConfig* queue(const QueueId& id) const;
     const ServiceConfig* service(const ServiceId& id) const;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -72,7 +72,7 @@
     };
     hooks.ask = [this](const AdviceQuestion& question) { m_broker.ask(question, m_hooks.clock()); };
     hooks.flush = [this](Time at) { m_log.requestFlush(at); };
-    hooks.superseded = [this](const std::string& reason) { m_session.resign(reason, m_hooks.clock()); };
+    hooks.superseded = [this](const std::string& reason) { m_session.resign(reason); };
     hooks.calendar = [this] { return m_hooks.calendar(); };
     return hooks;
 }
@@ -105,7 +105,7 @@
     };
     hooks.collect = [this](std::size_t limit) { return m_owner.collect(limit); };
     hooks.decided = [this](BatchOutcome outcome) { m_owner.batchDecided(outcome, m_hooks.clock()); };
-    hooks.ownershipLost = [this](const std::string& reason) { m_session.resign(reason, m_hooks.clock()); };
+    hooks.ownershipLost = [this](const std::string& reason) { m_session.resign(reason); };
     return hooks;
 }
 
@@ -173,7 +173,6 @@
     call.set_config_version(m_config ? m_config->version : 0);
     call.set_queue(request.queue.value);
     call.set_job(request.job.value);
-    call.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMs(pending->deadline() - now))));
     if (request.spec)
         toProto(*request.spec, *call.mutable_spec());
     ++pending->tries;
@@ -434,12 +433,12 @@
     return reason.empty();
 }
 
-/** Begins the end of the process: gives the cell up and takes no more duties. @param now Present time. */
-void EntryNode::drain(Time now)
+/** Begins the end of the process: gives the cell up and takes no more duties. */
+void EntryNode::drain()
 {
     m_draining = true;
     m_session.setEligible(false);
-    m_session.resign("the process is shutting down", now);
+    m_session.resign("the process is shutting down");
 }
 
 /** Does what is due. @param now Present time. */
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -90,7 +90,7 @@
     void handlePeer(ServedCall&& call, HttpListener::Reply reply);
     const CellConfig* config() const { return m_config ? &*m_config : nullptr; }
     bool ready(Time now, std::string& reason) const;
-    void drain(Time now);
+    void drain();
     bool draining() const { return m_draining; }
     std::size_t openRequests() const { return m_openRequests; }
     void tick(Time now);
--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -187,7 +187,7 @@
             [&](const auto& entry) { return now - entry.second > isolatedFor; });
     if (isolated) {
         m_session.abstain(now + abstainTime);
-        m_session.resign("no other member answers", now);
+        m_session.resign("no other member answers");
         m_peerHeard.clear();
     }
 }
@@ -202,7 +202,7 @@
     m_lateLast = now;
     if (m_session.owning() && now - m_lateSince > lateFor && m_session.members().size() > 1) {
         m_session.abstain(now + abstainTime);
-        m_session.resign("this host is too slow", now);
+        m_session.resign("this host is too slow");
     }
 }
 
--- a/tests/test_cell_session.cpp
+++ b/tests/test_cell_session.cpp
@@ -32,7 +32,7 @@
 
     static CellSessionConfig config()
     {
-        return { HostId("h1"), "10.0.0.1:1", 250, "o", "op/", "own/", "cell/seq", 1s };
+        return { HostId("h1"), "10.0.0.1:1", 250, "c", "config/", "cell/", "cell/seq", 1s };
     }
 
     CellSessionHooks hooks()
@@ -96,7 +96,7 @@
         proto::OwnerRecord record;
         record.set_node(host);
         record.set_address(host == "h1" ? "10.0.0.1:1" : "10.0.0.2:1");
-        return { "own/owner", record.SerializeAsString(), Revision(revision) };
+        return { "cell/owner", record.SerializeAsString(), Revision(revision) };
     }
 
     void pass(Duration time)
@@ -110,8 +110,8 @@
 
 TEST_CASE_FIXTURE(Fixture, "a cell without an owner is claimed, and the claim's revision is the token")
 {
-    startUp({ { "op/config", "c", Revision(3) } });
-    CHECK(operatorKeys == std::vector<std::string> { "op/config" });
+    startUp({ { "config/queues", "c", Revision(3) } });
+    CHECK(operatorKeys == std::vector<std::string> { "config/queues" });
     pass(1ms);
     pass(1ms);
     auto claim = take<StoreTxn>();
@@ -160,7 +160,7 @@
         CHECK(session.owning());
         StoreWatchReply removed;
         removed.status = StoreStatus::Ok;
-        removed.changes.deletes = { "own/owner" };
+        removed.changes.deletes = { "cell/owner" };
         removed.changes.revision = Revision(12);
         watches.front()(std::move(removed));
         CHECK_FALSE(session.owning());
