Fix: a process that stopped with a call open was aborted by its HTTP library

Cause: libmicrohttpd may not be stopped while connections are suspended; a call of another host that waited for its answer at that moment ended the process by a signal, and so did callers' calls. Ruled out: an end by memory or by the grace time.

--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -69,7 +69,7 @@
             if (const char* value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name.c_str()))
                 call->request.headers.emplace(name, value);
         }
-        ++listener.m_openCalls;
+        listener.m_calls.insert(call.get());
         return new CallPointer(std::move(call));
     }
 
@@ -115,7 +115,7 @@
             return;
         auto* call = static_cast<CallPointer*>(*state);
         (*call)->connection = nullptr;
-        --static_cast<HttpListener*>(self)->m_openCalls;
+        static_cast<HttpListener*>(self)->m_calls.erase(call->get());
         delete call;
         *state = nullptr;
     }
@@ -138,10 +138,19 @@
 
 HttpListener::~HttpListener()
 {
-    if (m_daemon)
-        MHD_stop_daemon(m_daemon);
+    if (!m_daemon)
+        return;
+    // The daemon may not be stopped while connections are suspended. Those without an answer are cut.
+    for (Call* call : m_calls) {
+        if (call->suspended && !call->answer)
+            MHD_resume_connection(call->connection);
+    }
+    MHD_stop_daemon(m_daemon);
 }
 
+/** Port in use. @return Port; differs from the configured one if that is 0. */
+std::uint16_t HttpListener::port() const { return MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port; }
+
 /** Opens the port. @param problem Set to the reason of a failure. @return False if the address can't be used. */
 bool HttpListener::start(std::string& problem)
 {
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,7 +59,8 @@
     std::optional<Time> wakeAt(Time now) const;
     void process();
     void closeAfterAnswers() { m_closing = true; }
-    std::size_t openCalls() const { return m_openCalls; }
+    std::size_t openCalls() const { return m_calls.size(); }
+    std::uint16_t port() const;
 
 private:
     struct Callbacks;
@@ -71,7 +73,7 @@
     int m_epollFd = -1;
     bool m_closing = false; ///< Answers ask the client to close the connection.
     bool m_resumed = false; ///< An answer waits to be written.
-    std::size_t m_openCalls = 0;
+    std::set<Call*> m_calls; ///< Requests without a complete answer.
 };
 
 } // namespace sp
