Fix: a target could be overcommitted while two runs of ended jobs of unknown size were stopping there

Cause: after a take-over the first such run was held to take all the rest of its target and the second one nothing; when the first had stopped, work was placed beside the second. A run of unknown size now keeps the target closed. A target whose own report is of a later life than the list of targets is closed too, since the listed size may be the former one's.

--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -419,8 +419,8 @@
     occupant.phase = RunPhase::Running;
     if (const StepSpec* spec = specOf(row.task))
         occupant.taken = spec->reserved();
-    else // Its size went with the specification; until it is gone the rest of the target may be taken.
-        occupant.taken = target.room();
+    else
+        occupant.sizeUnknown = true; // It went with the specification of a job that has ended.
     target.occupy(row.task, occupant);
     beginStop(target, row.task, target.occupants.at(row.task), "not asked for", now);
 }
--- a/src/cell_target.cpp
+++ b/src/cell_target.cpp
@@ -17,6 +17,7 @@
 {
     release(key);
     used += occupant.taken;
+    unknownSizes += occupant.sizeUnknown ? 1 : 0;
     occupants.emplace(key, occupant);
 }
 
@@ -25,18 +26,11 @@
 {
     if (const auto it = occupants.find(key); it != occupants.end()) {
         used -= it->second.taken;
+        unknownSizes -= it->second.sizeUnknown ? 1 : 0;
         occupants.erase(it);
     }
 }
 
-/** Changes the capacity that a run takes. @param occupant Run of this target. @param taken New amount. */
-void CellTarget::setTaken(Occupant& occupant, const Resources& taken)
-{
-    used -= occupant.taken;
-    used += taken;
-    occupant.taken = taken;
-}
-
 /** Lower bound of the target's clock. @param now Present time. @return Reading that its clock has reached. */
 std::chrono::milliseconds CellTarget::clockAtLeast(Time now) const
 {
@@ -66,7 +60,10 @@
 /** Whether new tasks may be placed there. @param now Present time. @return True if so. */
 bool CellTarget::usable(Time now) const
 {
-    return listed && reported && !entry.draining && !silent() && now >= quarantinedUntil && now >= refusedUntil;
+    // The size of a new life is known once the list of targets has caught up with the life that reports.
+    const bool presentLife = entry.bornAt >= reportedBornAt;
+    return listed && reported && presentLife && unknownSizes == 0 && !entry.draining && !silent()
+        && now >= quarantinedUntil && now >= refusedUntil;
 }
 
 /** A run was done: the target works. */
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -24,6 +24,7 @@
     std::uint32_t run = 0;
     RunPhase phase = RunPhase::Recording;
     Resources taken;
+    bool sizeUnknown = false; ///< What it takes is not known; nothing is placed beside it.
     bool checkpointing = false;
     bool fills = false;
     bool serves = false; ///< Has a tail of response times to keep.
@@ -50,6 +51,7 @@
     bool listed = false; ///< In the latest list of targets.
     Time leavesAt {}; ///< Earliest time at which a draining target may be gone; unset otherwise.
     Resources used;
+    int unknownSizes = 0; ///< Occupants whose size is not known.
     std::unordered_map<CellTaskKey, Occupant> occupants;
 
     // Clock and lease.
@@ -91,7 +93,6 @@
     Resources room() const { return entry.capacity - used; }
     void occupy(const CellTaskKey& key, const Occupant& occupant);
     void release(const CellTaskKey& key);
-    void setTaken(Occupant& occupant, const Resources& taken);
     std::chrono::milliseconds clockAtLeast(Time now) const;
     void sawClock(std::chrono::milliseconds reading, Time now);
     bool lapsed(Time now) const;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -80,6 +80,7 @@
     CellBounds bounds;
     int superseded = 0;
     Duration lateBy { 3s }; ///< Delay of orders that are carried out late.
+    Time staleListUntil {}; ///< Until then the list of targets stays as it was read last.
     Duration stopsTake { 1ms }; ///< Time from a stop order to the end of the run.
 
     CellWorld()
@@ -146,12 +147,14 @@
 
     void list(bool settled = true)
     {
-        std::vector<TargetEntry> entries;
-        for (const auto& [id, target] : targets) {
-            if (target.listed)
-                entries.push_back(target.entry);
+        if (now >= staleListUntil) {
+            m_entries.clear();
+            for (const auto& [id, target] : targets) {
+                if (target.listed)
+                    m_entries.push_back(target.entry);
+            }
         }
-        owner->targetsListed(entries, settled, now);
+        owner->targetsListed(m_entries, settled, now);
     }
 
     static StepSpec step(std::uint32_t tasks, std::int64_t cores = 1000)
@@ -583,4 +586,5 @@
     Time m_listAt {};
 };
 
+    std::vector<TargetEntry> m_entries; ///< List of targets as read last.
 } // namespace sp::test
--- a/tests/test_cell_owner.cpp
+++ b/tests/test_cell_owner.cpp
@@ -294,6 +294,48 @@
     CHECK(running("j2") == 3);
 }
 
+TEST_CASE_FIXTURE(
+    Fixture, "a target is free only once all runs of ended jobs that a new owner finds there have stopped")
+{
+    specs[JobId("j1")] = { step(6, 7000) };
+    specs[JobId("j2")] = { step(3, 12000) };
+    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+    stopsTake = 600ms;
+    submit("j1", specs[JobId("j1")]);
+    run(500ms);
+    cancel("j1");
+    run(50ms);
+    REQUIRE(running("j1") == 6);
+    takeOver();
+    submit("j2", specs[JobId("j2")]);
+    run(100ms);
+    for (auto& [id, target] : targets) {
+        REQUIRE(target.runs.size() == 2);
+        endRun(target, target.runs.begin()->first, EndKind::Stopped);
+    }
+    run(300ms);
+    CHECK(running("j2") == 0);
+    run(2s);
+    CHECK(running("j2") == 3);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a target whose present life is not in the list yet gets no work")
+{
+    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+    submit("j1", { step(3) });
+    run(200ms);
+    // The list is older than the targets' own reports, so the sizes in it may be those of the former lives.
+    staleListUntil = now + 4s;
+    for (auto& [id, target] : targets)
+        restartTarget(target);
+    run(2s);
+    submit("j2", { step(3, 12000) });
+    run(1s);
+    CHECK(startsOf("j2") == 0);
+    run(2s);
+    CHECK(startsOf("j2") == 3);
+}
+
 TEST_CASE_FIXTURE(Fixture, "capacity is kept while tasks are many")
 {
     const std::vector<StepSpec> steps { step(30, 3000) };
