Fix: a resignation that the store refused left the cell without an owner for five seconds

Cause: the key of an owner that gave the cell up was removed by one call; refused, it stayed, its lease was renewed, and no other host could claim while the former owner abstained. The removal is now repeated until the key is gone. A host that won the cell again judged its peers by answers of its earlier ownership and resigned at once; they are asked anew.

--- a/src/cell_session.cpp
+++ b/src/cell_session.cpp
@@ -72,6 +72,8 @@
     }
     if (m_lease.value != 0 && m_synced && !m_memberShown && !m_memberOpen && !m_leaseOpen)
         showMember();
+    if (m_resigned.value != 0 && !m_removalOpen && now >= m_removalRetryAt)
+        removeOwnerKey(now);
     const bool ownOldKey = m_owner && m_owner->host == m_config.self && m_owner->address == m_config.address;
     const bool free = !m_owner || ownOldKey || m_owner->revision == m_dead;
     const bool mayClaim
@@ -400,11 +402,31 @@
     if (!owning())
         return;
     StoreTxn txn;
-    txn.compares.push_back({ StoreCompare::Kind::ModRevision, ownerKey(), m_token, {} });
-    txn.writes.push_back({ StoreWrite::Kind::Delete, ownerKey(), {}, {} });
+    m_resigned = m_token;
     lose(reason);
-    m_hooks.call(
-        StoreRequest(std::move(txn)), callTimeout, [this](StoreReply&& reply) { heard(reply, m_hooks.clock()); });
+    removeOwnerKey(m_hooks.clock());
+}
+
+/** Removes the key of the claim that was given up; while it is there, no other host claims the cell. */
+void CellSession::removeOwnerKey(Time now)
+{
+    txn.compares.push_back({ StoreCompare::Kind::ModRevision, ownerKey(), m_resigned, {} });
+    txn.writes.push_back({ StoreWrite::Kind::Delete, ownerKey(), {}, {} });
+    m_removalOpen = true;
+    m_removalRetryAt = now + callTimeout;
+    m_hooks.call(StoreRequest(std::move(txn)), callTimeout, [this, resigned = m_resigned](StoreReply&& reply) {
+        const Time at = m_hooks.clock();
+        heard(reply, at);
+        m_removalOpen = false;
+        if (resigned != m_resigned)
+            return;
+        if (reply.status == StoreStatus::Ok || reply.status == StoreStatus::CompareFailed) {
+            m_resigned = {};
+            return;
+        }
+        m_removalRetryAt = at + retryPause;
+        LogLine(LogLevel::Warning, "resignation_not_stored").with("token", resigned);
+    });
 }
 
 } // namespace sp
--- a/src/cell_session.h
+++ b/src/cell_session.h
@@ -86,6 +86,7 @@
     void learnOwner(const CellOwnerInfo& owner, const char* event, const char* lostReason);
     void lose(const std::string& reason);
     void heard(const StoreReply& reply, Time now);
+    void removeOwnerKey(Time now);
     std::chrono::milliseconds claimDelay() const;
     std::chrono::milliseconds keepInterval() const;
     std::string ownerKey() const { return m_config.ownPrefix + "owner"; }
@@ -131,5 +132,8 @@
     Time m_suspectAfter {}; ///< No owner is taken for dead before this time.
     std::optional<Time> m_claimAt;
 };
+    Revision m_resigned; ///< Claim that was given up and whose key may still be there; 0 if there is none.
+    bool m_removalOpen = false;
+    Time m_removalRetryAt {};
 
 } // namespace sp
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -6,6 +6,7 @@
 #include "cell_session.h"
 #include "http_client.h"
 #include "http_listener.h"
+#include "peer_presence.h"
 #include "record_log.h"
 
 #include <functional>
@@ -155,8 +156,7 @@
     bool m_listFailed = false;
     Time m_listRegainedAt {};
     Time m_pingAt {};
-    std::map<HostId, Time> m_peerHeard;
-    Time m_isolatedSince {};
+    PeerPresence m_peers;
     Time m_lateSince {};
     Time m_lateLast {};
 
--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -14,7 +14,6 @@
     constexpr std::chrono::milliseconds pingTimeout {
         600
     }; ///< Below the interval, so that one ping a peer is under way.
-    constexpr std::chrono::milliseconds isolatedFor { 2200 }; ///< Three pings of all peers without an answer.
     constexpr std::chrono::milliseconds abstainTime { 5000 }; ///< Cuts of single hosts last some seconds.
     constexpr std::chrono::milliseconds lateLoop { 150 }; ///< A loop this late can't keep deadlines of a second.
     constexpr std::chrono::milliseconds lateFor { 1500 }; ///< Lateness of this duration is no single long task.
@@ -32,6 +31,8 @@
 {
     ++m_round;
     m_wonAt = m_hooks.clock();
+    m_peers.reset();
+    m_pingAt = m_wonAt;
     m_records = {};
     m_firstTargets.reset();
     m_reads = 2;
@@ -171,24 +172,20 @@
             hosts.push_back(host);
             if (host == m_settings.session.self)
                 continue;
-            m_peerHeard.try_emplace(host, now);
+            m_peers.asked(host, now);
             m_hooks.callPeer(member.address, pingPath, {}, pingTimeout, [this, id = host](HttpResult&& result) {
                 if (result.complete)
-                    m_peerHeard[id] = m_hooks.clock();
+                    m_peers.heard(id, m_hooks.clock());
             });
         }
         if (!members.contains(m_settings.session.self))
             hosts.push_back(m_settings.session.self);
         m_broker.setHosts(hosts);
-        std::erase_if(m_peerHeard, [&](const auto& entry) { return !members.contains(entry.first); });
+        m_peers.keepIf([&](const HostId& host) { return members.contains(host); });
     }
-    const bool isolated = !m_peerHeard.empty()
-        && std::all_of(m_peerHeard.begin(), m_peerHeard.end(),
-            [&](const auto& entry) { return now - entry.second > isolatedFor; });
-    if (isolated) {
+    if (m_peers.isolated(now)) {
         m_session.abstain(now + abstainTime);
         m_session.resign("no other member answers");
-        m_peerHeard.clear();
     }
 }
 
--- a/tests/test_cell_session.cpp
+++ b/tests/test_cell_session.cpp
@@ -226,3 +226,27 @@
     answer<StoreRange>(ok(30));
     CHECK_FALSE(session.owner());
 }
+
+TEST_CASE_FIXTURE(Fixture, "a resignation that the store refuses is repeated until the key is gone")
+{
+    startUp();
+    pass(1ms);
+    pass(1ms);
+    answer<StoreTxn>(ok(9));
+    REQUIRE(session.owning());
+    session.abstain(now + 5s);
+    session.resign("test");
+    CHECK(lost.size() == 1);
+    StoreReply refused;
+    refused.status = StoreStatus::Refused;
+    answer<StoreTxn>(refused);
+    pass(500ms);
+    auto removal = take<StoreTxn>();
+    REQUIRE(removal);
+    const auto& txn = std::get<StoreTxn>(removal->request);
+    CHECK(txn.compares[0].modRevision == Revision(9));
+    CHECK(txn.writes[0].kind == StoreWrite::Kind::Delete);
+    removal->reply(ok(12));
+    pass(500ms);
+    CHECK_FALSE(take<StoreTxn>());
+}
