Change: records are written in up to six transactions at a time while the store is slow or an answer is missing

Cause: one transaction of 28 writes at a time carries 215 writes a second at a store that answers after 130 ms, and 60 jobs a second need more. Callers waited, gave up and were counted as held to the end. Records of one job stay in order: a job that is under way in one lane waits.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -18,6 +18,15 @@
 
 } // namespace
 
+/** Keys that the lanes of the record log rewrite. @return One key for each lane. */
+std::vector<std::string> CellKeys::sequenceKeys()
+{
+    std::vector<std::string> keys;
+    for (std::size_t i = 0; i < RecordLog::lanes; ++i)
+        keys.push_back(sequences + std::to_string(i));
+    return keys;
+}
+
 /** @param bounds Bounds of the deployment. @param metrics Registry. @param hooks Surroundings. */
 CellOwner::CellOwner(CellBounds bounds, Metrics& metrics, CellOwnerHooks hooks)
     : m_bounds(bounds)
@@ -55,7 +64,7 @@
     m_jobs.clear();
     m_open.clear();
     m_dirty.clear();
-    m_writing.clear();
+    m_batches = {};
     m_removals.clear();
     m_targets.clear();
     m_wakeAt.reset();
@@ -357,44 +366,63 @@
     markDirty(job, m_now, saveSoon);
 }
 
-/** Takes the records that wait to be written. @param limit Most writes. @return Writes; empty if nothing waits. */
-std::vector<StoreWrite> CellOwner::collect(std::size_t limit)
+/**
+ * Takes records that wait to be written. Those of jobs that another lane is writing go on waiting.
+ * @param lane Lane that will write them.
+ * @param limit Most writes.
+ * @return Writes; empty if nothing waits.
+ */
+std::vector<StoreWrite> CellOwner::collect(std::size_t lane, std::size_t limit)
 {
     std::vector<StoreWrite> writes;
-    std::size_t taken = 0;
-    for (; taken < m_dirty.size() && writes.size() + writesPerJob <= limit; ++taken) {
-        CellJob& job = *m_dirty[taken];
-        job.dirty = false;
-        job.writing = true;
-        job.onWritten = std::exchange(job.onSaved, {});
-        m_writing.push_back(&job);
-        const std::string& id = job.spec.id.value;
-        writes.push_back({ StoreWrite::Kind::Put, CellKeys::jobs + id, encodeJobRecord(job), {} });
-        if (!job.specStored)
-            writes.push_back({ StoreWrite::Kind::Put, CellKeys::specs + id, encodeJobSpec(job.spec), {} });
-        else if (isFinal(job.state) && !job.specRemoved)
+    RecordBatch& batch = m_batches.at(lane);
+    const auto ready = [&](const CellJob* job) { return !job->writing && writes.size() + writesPerJob <= limit; };
+    std::vector<CellJob*> waiting;
+    bool more = false;
+    for (CellJob* job : std::exchange(m_dirty, {})) {
+        if (!ready(job)) {
+            more |= !job->writing;
+            waiting.push_back(job);
+            continue;
+        }
+        job->dirty = false;
+        job->writing = true;
+        job->onWritten = std::exchange(job->onSaved, {});
+        batch.jobs.push_back(job);
+        const std::string& id = job->spec.id.value;
+        writes.push_back({ StoreWrite::Kind::Put, CellKeys::jobs + id, encodeJobRecord(*job), {} });
+        if (!job->specStored)
+            writes.push_back({ StoreWrite::Kind::Put, CellKeys::specs + id, encodeJobSpec(job->spec), {} });
+        else if (isFinal(job->state) && !job->specRemoved)
             writes.push_back({ StoreWrite::Kind::Delete, CellKeys::specs + id, {}, {} });
     }
-    m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
+    m_dirty = std::move(waiting);
     for (std::size_t i = 0; i < removalsPerBatch && !m_removals.empty() && writes.size() < limit; ++i) {
-        writes.push_back({ StoreWrite::Kind::Delete, std::move(m_removals.back()), {}, {} });
+        writes.push_back({ StoreWrite::Kind::Delete, m_removals.back(), {}, {} });
+        batch.removals.push_back(std::move(m_removals.back()));
         m_removals.pop_back();
     }
-    if (!m_dirty.empty())
+    if (more)
         m_hooks.flush(m_now);
     return writes;
 }
 
 /**
- * What became of the records taken last. What was not written waits again.
+ * What became of the records that a lane took last. What was not written waits again.
+ * @param lane Lane.
  * @param outcome Outcome.
  * @param now Present time.
  */
-void CellOwner::batchDecided(BatchOutcome outcome, Time now)
+void CellOwner::batchDecided(std::size_t lane, BatchOutcome outcome, Time now)
 {
     m_now = now;
-    for (CellJob* job : std::exchange(m_writing, {})) {
+    RecordBatch batch = std::exchange(m_batches.at(lane), {});
+    if (outcome == BatchOutcome::NotSaved)
+        m_removals.insert(m_removals.end(), batch.removals.begin(), batch.removals.end());
+    for (CellJob* job : batch.jobs) {
         job->writing = false;
+        if (job->dirty) // Changed meanwhile; its next record had to wait for this one.
+            m_hooks.flush(now);
         if (outcome == BatchOutcome::NotSaved) {
             job->onSaved.insert(job->onSaved.begin(), std::make_move_iterator(job->onWritten.begin()),
                 std::make_move_iterator(job->onWritten.end()));
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -7,6 +7,7 @@
 #include "placement.h"
 #include "record_log.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -85,7 +86,9 @@
 struct CellKeys {
     static constexpr const char* jobs = "cell/job/"; ///< Progress, rewritten while the job runs.
     static constexpr const char* specs = "cell/spec/"; ///< Specification, written once, removed at the job's end.
-    static constexpr const char* sequence = "cell/seq"; ///< Rewritten by each transaction of the record log.
+    static constexpr const char* sequences = "cell/seq/"; ///< One key for each lane of the record log.
+
+    static std::vector<std::string> sequenceKeys();
 };
 
 /** Records of the store at the beginning of an ownership. */
@@ -124,8 +127,8 @@
         const TargetId& target, const LookOrder& order, const OrderAnswer& answer, const RunReport& report, Time now);
     void onAdvice(const AdviceQuestion& question, const AdviceReply& reply, Time now);
 
-    std::vector<StoreWrite> collect(std::size_t limit);
-    void batchDecided(BatchOutcome outcome, Time now);
+    std::vector<StoreWrite> collect(std::size_t lane, std::size_t limit);
+    void batchDecided(std::size_t lane, BatchOutcome outcome, Time now);
     void setStoreStalled(bool stalled) { m_storeStalled = stalled; }
     std::optional<Time> wakeAt() const { return m_wakeAt; }
     void tick(Time now);
@@ -150,6 +153,12 @@
         CellTaskKey taskKey(std::uint32_t index) const { return { job->spec.id, occurrence, step, index }; }
     };
 
+    /** Records that one transaction writes. */
+    struct RecordBatch {
+        std::vector<CellJob*> jobs;
+        std::vector<std::string> removals; ///< Keys.
+    };
+
     // Records.
     void markDirty(CellJob& job, Time now, std::chrono::milliseconds within);
     void runWhenSaved(CellJob& job, std::function<void(bool)>&& effect);
@@ -230,7 +239,7 @@
     std::unordered_map<JobId, std::unique_ptr<CellJob>> m_jobs;
     std::vector<CellJob*> m_open; ///< Jobs that have not ended.
     std::vector<CellJob*> m_dirty;
-    std::vector<CellJob*> m_writing; ///< Jobs of the batch that is on the way to the store.
+    std::array<RecordBatch, RecordLog::lanes> m_batches; ///< What is on the way to the store, by lane.
     std::map<JobId, std::vector<JobReply>> m_submitters; ///< Submissions of jobs that are not stored yet.
     bool m_storeStalled = false; ///< Records can't be saved at present.
     std::vector<std::string> m_removals; ///< Keys of records that are no longer shown.
--- a/src/cell_session.cpp
+++ b/src/cell_session.cpp
@@ -342,7 +342,8 @@
     else
         txn.compares.push_back({ StoreCompare::Kind::Absent, ownerKey(), {}, {} });
     txn.writes.push_back({ StoreWrite::Kind::Put, ownerKey(), record.SerializeAsString(), m_lease });
-    txn.writes.push_back({ StoreWrite::Kind::Put, m_config.sequenceKey, "claimed", {} });
+    for (const std::string& key : m_config.sequenceKeys)
+        txn.writes.push_back({ StoreWrite::Kind::Put, key, "claimed", {} });
     m_claimOpen = true;
     m_claimAt = now + callTimeout;
     LogLine(LogLevel::Info, "claim_sent").with("revision", m_revision);
@@ -401,7 +402,6 @@
 {
     if (!owning())
         return;
-    StoreTxn txn;
     m_resigned = m_token;
     lose(reason);
     removeOwnerKey(m_hooks.clock());
@@ -410,6 +410,7 @@
 /** Removes the key of the claim that was given up; while it is there, no other host claims the cell. */
 void CellSession::removeOwnerKey(Time now)
 {
+    StoreTxn txn;
     txn.compares.push_back({ StoreCompare::Kind::ModRevision, ownerKey(), m_resigned, {} });
     txn.writes.push_back({ StoreWrite::Kind::Delete, ownerKey(), {}, {} });
     m_removalOpen = true;
--- a/src/cell_session.h
+++ b/src/cell_session.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sp {
 
@@ -19,7 +20,7 @@
     std::string watchPrefix; ///< Common prefix of the operator's keys and the session's own.
     std::string operatorPrefix; ///< Keys that the operator writes.
     std::string ownPrefix; ///< Members and owner.
-    std::string sequenceKey; ///< Written along with each claim.
+    std::vector<std::string> sequenceKeys; ///< Written along with each claim.
     std::chrono::seconds leaseTtl { 1 }; ///< Time after which a silent host counts as gone.
 };
 
@@ -85,8 +86,8 @@
     void tookOwnerKey(const std::optional<StoreKeyValue>& item, Time now);
     void learnOwner(const CellOwnerInfo& owner, const char* event, const char* lostReason);
     void lose(const std::string& reason);
-    void heard(const StoreReply& reply, Time now);
     void removeOwnerKey(Time now);
+    void heard(const StoreReply& reply, Time now);
     std::chrono::milliseconds claimDelay() const;
     std::chrono::milliseconds keepInterval() const;
     std::string ownerKey() const { return m_config.ownPrefix + "owner"; }
@@ -131,9 +132,9 @@
     Revision m_dead; ///< Owner whose process has ended, although its lease still runs.
     Time m_suspectAfter {}; ///< No owner is taken for dead before this time.
     std::optional<Time> m_claimAt;
-};
     Revision m_resigned; ///< Claim that was given up and whose key may still be there; 0 if there is none.
     bool m_removalOpen = false;
     Time m_removalRetryAt {};
+};
 
 } // namespace sp
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -32,7 +32,7 @@
 EntryNode::EntryNode(EntryNodeConfig config, Metrics& metrics, EntryNodeHooks hooks)
     : m_settings(std::move(config))
     , m_hooks(std::move(hooks))
-    , m_log(m_settings.session.ownPrefix + "owner", CellKeys::sequence, logHooks())
+    , m_log(m_settings.session.ownPrefix + "owner", CellKeys::sequenceKeys(), logHooks())
     , m_owner(m_settings.bounds, metrics, ownerHooks())
     , m_session(m_settings.session, sessionHooks())
     , m_broker([this](const HostId& host, const AdviceQuestion& question, std::uint64_t ticket) {
@@ -97,14 +97,16 @@
 RecordLogHooks EntryNode::logHooks()
 {
     RecordLogHooks hooks;
-    hooks.commit = [this](StoreTxn&& txn) {
-        m_hooks.storeCall(StoreRequest(std::move(txn)), recordTimeout, [this, round = m_round](StoreReply&& reply) {
-            if (round == m_round)
-                m_log.answered(reply, m_hooks.clock());
-        });
+    hooks.commit = [this](std::size_t lane, StoreTxn&& txn) {
+        m_hooks.storeCall(
+            StoreRequest(std::move(txn)), recordTimeout, [this, lane, round = m_round](StoreReply&& reply) {
+                if (round == m_round)
+                    m_log.answered(lane, reply, m_hooks.clock());
+            });
     };
-    hooks.collect = [this](std::size_t limit) { return m_owner.collect(limit); };
-    hooks.decided = [this](BatchOutcome outcome) { m_owner.batchDecided(outcome, m_hooks.clock()); };
+    hooks.collect = [this](std::size_t lane, std::size_t limit) { return m_owner.collect(lane, limit); };
+    hooks.decided
+        = [this](std::size_t lane, BatchOutcome outcome) { m_owner.batchDecided(lane, outcome, m_hooks.clock()); };
     hooks.ownershipLost = [this](const std::string& reason) { m_session.resign(reason); };
     return hooks;
 }
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -65,6 +65,7 @@
     std::uint64_t revision = 100;
     bool storeUp = true;
     bool storeRefuses = false; ///< While it is down it says so, so that nothing is uncertain.
+    Duration storeDelay { 4ms }; ///< Time of a transaction.
     Time storeHeardAt {}; ///< Last answer of the store.
     int loseStoreAnswers = 0; ///< So many transactions are carried out without an answer.
     std::map<TargetId, WorldTarget> targets;
@@ -79,8 +80,8 @@
     CellConfig config;
     CellBounds bounds;
     int superseded = 0;
-    Duration lateBy { 3s }; ///< Delay of orders that are carried out late.
     Time staleListUntil {}; ///< Until then the list of targets stays as it was read last.
+    Duration lateBy { 3s }; ///< Delay of orders that are carried out late.
     Duration stopsTake { 1ms }; ///< Time from a stop order to the end of the run.
 
     CellWorld()
@@ -124,14 +125,15 @@
         log.reset();
         owner.reset();
         RecordLogHooks hooks;
-        hooks.commit = [this](StoreTxn&& txn) { commit(std::move(txn)); };
-        hooks.collect = [this](std::size_t limit) { return owner->collect(limit); };
-        hooks.decided = [this](BatchOutcome outcome) { owner->batchDecided(outcome, now); };
+        hooks.commit = [this](std::size_t lane, StoreTxn&& txn) { commit(lane, std::move(txn)); };
+        hooks.collect = [this](std::size_t lane, std::size_t limit) { return owner->collect(lane, limit); };
+        hooks.decided = [this](std::size_t lane, BatchOutcome outcome) { owner->batchDecided(lane, outcome, now); };
         hooks.ownershipLost = [this](const std::string&) { ++superseded; };
-        log = std::make_unique<RecordLog>("own/owner", CellKeys::sequence, std::move(hooks));
+        log = std::make_unique<RecordLog>("own/owner", CellKeys::sequenceKeys(), std::move(hooks));
         owner = std::make_unique<CellOwner>(bounds, metrics, ownerHooks());
         put("own/owner", "x");
-        put(CellKeys::sequence, "claimed", revision);
+        for (const std::string& key : CellKeys::sequenceKeys())
+            put(key, "claimed", revision);
         owner->setConfig(config);
         log->begin(Revision(revision));
         CellRecords records;
@@ -295,13 +297,13 @@
         store[key] = { key, value, Revision(at) };
     }
 
-    void commit(StoreTxn&& txn)
+    void commit(std::size_t lane, StoreTxn&& txn)
     {
-        answer(4ms, [this, txn = std::move(txn)] {
+        answer(storeDelay, [this, lane, txn = std::move(txn)] {
             StoreReply reply;
             if (!storeUp) {
                 reply.status = storeRefuses ? StoreStatus::Refused : StoreStatus::Lost;
-                log->answered(reply, now);
+                log->answered(lane, reply, now);
                 return;
             }
             storeHeardAt = now;
@@ -326,7 +328,7 @@
                 --loseStoreAnswers;
                 reply = {};
             }
-            log->answered(reply, now);
+            log->answered(lane, reply, now);
         });
     }
 
@@ -584,7 +586,7 @@
     std::set<CellTaskKey> m_done;
     std::uint64_t m_serial = 0;
     Time m_listAt {};
+    std::vector<TargetEntry> m_entries; ///< List of targets as read last.
 };
 
-    std::vector<TargetEntry> m_entries; ///< List of targets as read last.
 } // namespace sp::test
--- a/tests/test_cell_session.cpp
+++ b/tests/test_cell_session.cpp
@@ -32,7 +32,7 @@
 
     static CellSessionConfig config()
     {
-        return { HostId("h1"), "10.0.0.1:1", 250, "c", "config/", "cell/", "cell/seq", 1s };
+        return { HostId("h1"), "10.0.0.1:1", 250, "c", "config/", "cell/", { "cell/seq/0", "cell/seq/1" }, 1s };
     }
 
     CellSessionHooks hooks()
--- a/tests/test_record_log.cpp
+++ b/tests/test_record_log.cpp
@@ -13,10 +13,15 @@
     std::vector<BatchOutcome> outcomes;
     std::vector<StoreWrite> waiting;
     int lost = 0;
-    RecordLog log { "owner", "seq",
-        { [this](StoreTxn&& txn) { sent.push_back(std::move(txn)); },
-            [this](std::size_t) { return std::exchange(waiting, {}); },
-            [this](BatchOutcome outcome) { outcomes.push_back(outcome); }, [this](const std::string&) { ++lost; } } };
+    std::vector<std::size_t> sentBy; ///< Lane of each transaction.
+    RecordLog log { "owner", { "seq", "seq1", "seq2", "seq3", "seq4", "seq5" },
+        { [this](std::size_t lane, StoreTxn&& txn) {
+             sent.push_back(std::move(txn));
+             sentBy.push_back(lane);
+         },
+            [this](std::size_t, std::size_t) { return std::exchange(waiting, {}); },
+            [this](std::size_t, BatchOutcome outcome) { outcomes.push_back(outcome); },
+            [this](const std::string&) { ++lost; } } };
 
     Fixture()
     {
@@ -27,13 +32,21 @@
         REQUIRE(sent.size() == 1);
     }
 
-    void answer(StoreStatus status, std::uint64_t revision = 0, std::vector<StoreKeyValue> values = {})
+    void write(const std::string& key)
+    {
+        waiting = { { StoreWrite::Kind::Put, key, "v", {} } };
+        log.requestFlush(now);
+        log.tick(now);
+    }
+
+    void answer(
+        StoreStatus status, std::uint64_t revision = 0, std::vector<StoreKeyValue> values = {}, std::size_t lane = 0)
     {
         StoreReply reply;
         reply.status = status;
         reply.revision = Revision(revision);
         reply.values = std::move(values);
-        log.answered(reply, now);
+        log.answered(lane, reply, now);
     }
 };
 
@@ -97,3 +110,44 @@
     CHECK_FALSE(log.stalled(now, now + 300ms));
     CHECK(log.stalled(now, now + 400ms));
 }
+
+TEST_CASE_FIXTURE(Fixture, "records share transactions while the store is quick, and overlap when it is slow")
+{
+    write("l");
+    CHECK(sent.size() == 1);
+    now += 100ms;
+    log.tick(now);
+    REQUIRE(sent.size() == 2);
+    CHECK(sentBy[1] == 1);
+    CHECK(sent[1].compares[1].key == "seq1");
+    CHECK(sent[1].compares[1].modRevision == Revision(10));
+    answer(StoreStatus::Ok, 20, {}, 1);
+    answer(StoreStatus::Ok, 21, {}, 0);
+    CHECK(outcomes == std::vector { BatchOutcome::Saved, BatchOutcome::Saved });
+    write("m");
+    REQUIRE(sent.size() == 3);
+    CHECK(sentBy[2] == 0);
+    CHECK(sent[2].compares[1].modRevision == Revision(21));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a missing answer holds up its own lane only")
+{
+    for (int i = 0; i < 20; ++i) {
+        now += 50ms;
+        write("l");
+        REQUIRE(sent.size() == 2U + static_cast<std::size_t>(i));
+        answer(StoreStatus::Ok, 20U + static_cast<std::uint64_t>(i), {}, 1);
+        CHECK_FALSE(log.stalled(now, now));
+    }
+    answer(StoreStatus::Lost);
+    CHECK(outcomes.size() == 20);
+}
+
+TEST_CASE_FIXTURE(Fixture, "no more batches are taken than there are lanes")
+{
+    for (int i = 0; i < 20; ++i) {
+        now += 50ms;
+        write("l");
+    }
+    CHECK(sent.size() == RecordLog::lanes);
+}
