--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -32,15 +32,6 @@
     std::chrono::milliseconds listSettled { 2000 }; ///< Entries lost in an outage are back after this time.
 };
 
-/** Order to renew a target's lease and to report. */
-struct LookOrder {
-    FencingToken token;
-    std::optional<std::chrono::milliseconds> leaseUntil; ///< On the target's clock; unset if it is not known yet.
-    std::uint64_t endsAcknowledged = 0; ///< Ends up to this number may be forgotten.
-    std::chrono::milliseconds wait { 0 }; ///< The answer may wait this long for an end.
-    Time sentAt {}; ///< When it was sent; what was confirmed later may be missing in its answer.
-};
-
 /** Question which targets may run a step. */
 struct AdviceQuestion {
     StepKey step;
@@ -107,6 +98,7 @@
     void begin(FencingToken token, const CellRecords& records, Time now);
     void end(const std::string& reason);
     bool active() const { return m_active; }
+    std::size_t targetCount() const { return m_targets.size(); }
     void setConfig(const CellConfig& config);
     void setBounds(const CellBounds& bounds) { m_bounds = bounds; }
     void setMayOrder(bool mayOrder);
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -79,6 +79,7 @@
     double slowness = 1; ///< Observed run time relative to the estimate, compared with other targets.
 
     const TargetId& id() const { return entry.id; }
+    TargetRef ref() const { return { entry.id, entry.address }; }
 
     /** Tasks whose runs fulfil a condition, so that the runs can be removed one by one. */
     template <typename Condition> std::vector<CellTaskKey> tasksWhere(Condition condition) const
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -7,8 +7,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace sp {
@@ -197,6 +199,32 @@
     FencingToken token;
 };
 
+/** Order to stop a run. */
+struct StopOrder {
+    CellTaskKey task;
+    std::uint32_t run = 0;
+    FencingToken token;
+};
+
+/** Order to let a run work at a share of its speed. */
+struct PaceOrder {
+    CellTaskKey task;
+    std::uint32_t run = 0;
+    int percent = 100;
+    FencingToken token;
+};
+
+/** Order to renew a target's lease and to report. */
+struct LookOrder {
+    FencingToken token;
+    std::optional<std::chrono::milliseconds> leaseUntil; ///< On the target's clock; unset if it is not known yet.
+    std::uint64_t endsAcknowledged = 0; ///< Ends up to this number may be forgotten.
+    std::chrono::milliseconds wait { 0 }; ///< The answer may wait this long for an end.
+    Time sentAt {}; ///< When it was sent; what was confirmed later may be missing in its answer.
+};
+
+using TargetOrder = std::variant<StartOrder, StopOrder, PaceOrder, LookOrder>;
+
 /** What is known of an order to a target. */
 enum class OrderResult : std::uint8_t {
     Done, ///< The target has carried it out.
@@ -220,6 +248,15 @@
     std::optional<std::chrono::milliseconds> clock; ///< The target's clock, if it answered.
 };
 
+/** Where a target is reached. */
+struct TargetRef {
+    TargetId id;
+    std::string address; ///< `ip:port`.
+};
+
+using TargetReply = std::function<void(const OrderAnswer& answer, const RunReport& report)>; ///< Report after a look.
+using TargetCall = std::function<void(const TargetRef& target, const TargetOrder& order, TargetReply reply)>;
+
 } // namespace sp
 
 template <> struct std::hash<sp::CellTaskKey> {
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -38,6 +38,8 @@
     , m_broker([this](const HostId& host, const AdviceQuestion& question, std::uint64_t ticket) {
         sendAdvice(host, question, ticket);
     })
+    , m_router(routerHooks())
+    , m_relay(m_hooks.callTarget, m_settings.instance)
     , m_forwarded(metrics.counter("sp_entry_forwarded_total", "Requests passed to the owner of the cell."))
     , m_uncertain(metrics.counter("sp_entry_uncertain_total", "Requests answered without knowing their outcome."))
     , m_requestSeconds(metrics.histogram("sp_entry_request_seconds", "Time from a caller's request to its answer."))
@@ -48,25 +50,27 @@
 {
     CellOwnerHooks hooks;
     hooks.start = [this](const CellTarget& target, const StartOrder& order) {
-        m_hooks.start(target, order, [this, id = target.id(), key = order.task, run = order.run](const OrderAnswer& a) {
-            m_owner.onStarted(id, key, run, a, m_hooks.clock());
-        });
+        m_router.send(target.ref(), order,
+            [this, id = target.id(), key = order.task, run = order.run](const OrderAnswer& answer, const RunReport&) {
+                m_owner.onStarted(id, key, run, answer, m_hooks.clock());
+            });
     };
     hooks.stop = [this](const CellTarget& target, const CellTaskKey& key, std::uint32_t run, FencingToken token) {
-        m_hooks.stop(target, key, run, token, [this, id = target.id(), key, run](const OrderAnswer& answer) {
-            m_owner.onStopped(id, key, run, answer, m_hooks.clock());
-        });
+        m_router.send(target.ref(), StopOrder { key, run, token },
+            [this, id = target.id(), key, run](const OrderAnswer& answer, const RunReport&) {
+                m_owner.onStopped(id, key, run, answer, m_hooks.clock());
+            });
     };
     hooks.pace
         = [this](const CellTarget& target, const CellTaskKey& key, std::uint32_t run, int percent, FencingToken token) {
-              m_hooks.pace(
-                  target, key, run, percent, token, [this, id = target.id(), key, run, percent](const OrderAnswer& a) {
-                      m_owner.onPaced(id, key, run, percent, a, m_hooks.clock());
+              m_router.send(target.ref(), PaceOrder { key, run, percent, token },
+                  [this, id = target.id(), key, run, percent](const OrderAnswer& answer, const RunReport&) {
+                      m_owner.onPaced(id, key, run, percent, answer, m_hooks.clock());
                   });
           };
     hooks.look = [this](const CellTarget& target, const LookOrder& order) {
-        m_hooks.look(
-            target, order, [this, id = target.id(), order](const OrderAnswer& answer, const RunReport& report) {
+        m_router.send(
+            target.ref(), order, [this, id = target.id(), order](const OrderAnswer& answer, const RunReport& report) {
                 m_owner.onReport(id, order, answer, report, m_hooks.clock());
             });
     };
@@ -94,6 +98,18 @@
     return hooks;
 }
 
+OrderRouterHooks EntryNode::routerHooks()
+{
+    OrderRouterHooks hooks;
+    hooks.direct = m_hooks.callTarget;
+    hooks.callRelay = [this](const std::string& address, std::string&& body, std::chrono::milliseconds timeout,
+                          std::function<void(HttpResult &&)> done) {
+        m_hooks.callPeer(address, relayPath, std::move(body), timeout, std::move(done));
+    };
+    hooks.clock = m_hooks.clock;
+    return hooks;
+}
+
 RecordLogHooks EntryNode::logHooks()
 {
     RecordLogHooks hooks;
@@ -382,6 +398,10 @@
         servePeerAdvice(call, std::move(reply));
         return;
     }
+    if (call.path == relayPath) {
+        m_relay.handle(call.body, m_hooks.clock(), std::move(reply));
+        return;
+    }
     proto::OwnerCall message;
     if (call.path != callPath || !message.ParseFromString(call.body)) {
         LogLine(LogLevel::Warning, "peer_call_unreadable").with("path", call.path).with("bytes", call.body.size());
@@ -456,7 +476,9 @@
         m_owner.tick(now);
         m_broker.tick(now);
         m_log.tick(now);
+        m_router.tick(now);
     }
+    m_relay.tick(now);
     auto due = std::exchange(m_retries, {});
     for (auto& [at, pending] : due) {
         if (at <= now)
@@ -476,7 +498,11 @@
             at = std::min(at, m_owner.wakeAt().value_or(at));
         if (const auto log = m_log.wakeAt())
             at = std::min(at, *log);
+        if (const auto router = m_router.wakeAt())
+            at = std::min(at, *router);
     }
+    if (const auto relay = m_relay.wakeAt())
+        at = std::min(at, *relay);
     for (const auto& [when, pending] : m_retries)
         at = std::min(at, when);
     return at;
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -6,6 +6,8 @@
 #include "cell_session.h"
 #include "http_client.h"
 #include "http_listener.h"
+#include "order_relay.h"
+#include "order_router.h"
 #include "peer_presence.h"
 #include "record_log.h"
 
@@ -56,15 +58,7 @@
     std::function<void(StoreWatch&&, std::function<void(StoreWatchReply&&)>)> storeWatch;
     std::function<std::optional<CellConfig>(const std::string& value)> decodeConfig;
     std::function<void(std::function<void(std::optional<std::vector<TargetEntry>>)>)> listTargets;
-    std::function<void(const CellTarget&, const StartOrder&, std::function<void(const OrderAnswer&)>)> start;
-    std::function<void(
-        const CellTarget&, const CellTaskKey&, std::uint32_t, FencingToken, std::function<void(const OrderAnswer&)>)>
-        stop;
-    std::function<void(const CellTarget&, const CellTaskKey&, std::uint32_t, int, FencingToken,
-        std::function<void(const OrderAnswer&)>)>
-        pace;
-    std::function<void(const CellTarget&, const LookOrder&, std::function<void(const OrderAnswer&, const RunReport&)>)>
-        look;
+    TargetCall callTarget;
     std::function<void(const AdviceQuestion&, std::chrono::milliseconds timeout, std::function<void(AdviceReply&&)>)>
         advise;
     std::function<void(const std::string& address, const std::string& path, std::string&& body,
@@ -79,6 +73,7 @@
     CellSessionConfig session;
     std::string configKey; ///< Key of the configuration, below the operator's prefix.
     CellBounds bounds;
+    std::uint64_t instance = 0; ///< Distinguishes this process from earlier ones of the host.
 };
 
 class EntryNode {
@@ -109,12 +104,14 @@
     static constexpr const char* callPath = "/cell/call";
     static constexpr const char* advicePath = "/cell/advice";
     static constexpr const char* pingPath = "/cell/ping";
+    static constexpr const char* relayPath = "/cell/relay";
 
     struct Pending;
 
     CellOwnerHooks ownerHooks();
     CellSessionHooks sessionHooks();
     RecordLogHooks logHooks();
+    OrderRouterHooks routerHooks();
     void operatorChanged(const std::string& key, const std::optional<StoreKeyValue>& item);
     void won(Revision token);
     void lost(const std::string& reason);
@@ -141,6 +138,8 @@
     CellOwner m_owner;
     CellSession m_session;
     AdviceBroker m_broker;
+    OrderRouter m_router; ///< Ways of the orders of this host as the owner.
+    OrderRelay m_relay; ///< Carries orders of an owner on another host.
     std::map<std::uint64_t, AdviceQuestion> m_questions;
 
     // Take-over.
--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -49,6 +49,7 @@
     ++m_round;
     m_log.end(); // Before the owner, whose jobs its effects refer to.
     m_owner.end(reason);
+    m_router.begin({});
     m_broker.clear();
     m_questions.clear();
     LogLine(LogLevel::Warning, "ownership_lost").with("reason", reason);
@@ -86,6 +87,8 @@
     const Time now = m_hooks.clock();
     const FencingToken token(m_session.owner()->revision.value);
     m_log.begin(m_session.owner()->revision);
+    m_router.begin(token);
+    m_router.setHosts(m_settings.session.self, m_session.members(), m_firstTargets->size());
     m_owner.setConfig(*m_config);
     m_owner.begin(token, std::exchange(m_records, {}), now);
     m_listRegainedAt = now;
@@ -181,6 +184,7 @@
         if (!members.contains(m_settings.session.self))
             hosts.push_back(m_settings.session.self);
         m_broker.setHosts(hosts);
+        m_router.setHosts(m_settings.session.self, members, m_owner.targetCount());
         m_peers.keepIf([&](const HostId& host) { return members.contains(host); });
     }
     if (m_peers.isolated(now)) {
