Change: the first two in line ask the owner how it is, and replace it before its lease ends

Cause: an owner that was cut from the store, frozen or gone without a refused connection was replaced 1.05 s later, after its lease; jobs of that second were late. Ruled out: a shorter lease, the store grants none below 1 s.

--- a/src/cell_session.cpp
+++ b/src/cell_session.cpp
@@ -81,7 +81,7 @@
     if (!mayClaim) {
         m_claimAt.reset();
     } else if (!m_claimAt) {
-        m_claimAt = now + claimDelay();
+        m_claimAt = now + claimStep * claimsBefore();
         m_wakeAt = std::min(*m_wakeAt, *m_claimAt);
     } else if (now >= *m_claimAt && !m_claimOpen) {
         claim(now);
@@ -319,16 +319,24 @@
 }
 
 /** Hosts claim in an order of their own, so that mostly one of them does: the strongest first, then by hash. */
-std::chrono::milliseconds CellSession::claimDelay() const
+std::int64_t CellSession::claimsBefore() const
 {
     const auto rankOf = [&](const CellMember& member) {
         return std::pair(-static_cast<std::int64_t>(member.strengthMilli),
             fnvHash(member.host.value + std::to_string(m_owner ? m_owner->revision.value : 0)));
     };
     const auto own = rankOf({ m_config.self, m_config.address, m_config.strengthMilli });
-    const auto before = std::count_if(m_members.begin(), m_members.end(),
-        [&](const auto& entry) { return entry.first != m_config.self && rankOf(entry.second) < own; });
-    return claimStep * before;
+    const auto former = [&](const HostId& host) { return m_owner && m_owner->host == host; };
+    return std::count_if(m_members.begin(), m_members.end(), [&](const auto& entry) {
+        return entry.first != m_config.self && !former(entry.first) && rankOf(entry.second) < own;
+    });
+}
+
+/** Whether this host would be among the first two to claim the cell. @return True if so. */
+bool CellSession::firstInLine() const
+{
+    constexpr std::int64_t watchers = 2; ///< One of them may fail along with the owner.
+    return m_synced && m_eligible && m_memberShown && m_owner && !owning() && claimsBefore() < watchers;
 }
 
 void CellSession::claim(Time now)
@@ -377,12 +385,24 @@
     }
     if (now - m_refusedAt < refusedFor)
         return;
+    ownerFailed("its address refuses connections", now);
+}
+
+/**
+ * The owner does not serve any more although its lease still runs: it may be replaced under the revision of its claim.
+ * @param reason What tells so.
+ * @param now Present time.
+ */
+void CellSession::ownerFailed(const std::string& reason, Time now)
+{
+    if (!m_owner || owning() || m_dead == m_owner->revision || now < m_suspectAfter)
+        return;
     m_dead = m_owner->revision;
     m_suspectAfter = now + suspectPause;
-    LogLine(LogLevel::Warning, "owner_process_ended")
+    LogLine(LogLevel::Warning, "owner_failed")
         .with("host", m_owner->host)
         .with("token", m_owner->revision)
-        .with("refused_for_ms", toMs(now - m_refusedAt));
+        .with("reason", reason);
     tick(now);
 }
 
--- a/src/cell_session.h
+++ b/src/cell_session.h
@@ -62,6 +62,8 @@
     void abstain(Time until) { m_abstainUntil = until; }
     void resign(const std::string& reason);
     void ownerRefused(Time now);
+    void ownerFailed(const std::string& reason, Time now);
+    bool firstInLine() const;
     void ownerHeard(const CellOwnerInfo& owner);
 
     bool synced() const { return m_synced; }
@@ -88,7 +90,7 @@
     void lose(const std::string& reason);
     void removeOwnerKey(Time now);
     void heard(const StoreReply& reply, Time now);
-    std::chrono::milliseconds claimDelay() const;
+    std::int64_t claimsBefore() const;
     std::chrono::milliseconds keepInterval() const;
     std::string ownerKey() const { return m_config.ownPrefix + "owner"; }
     std::string memberPrefix() const { return m_config.ownPrefix + "node/"; }
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -391,7 +391,10 @@
 void EntryNode::handlePeer(ServedCall&& call, HttpListener::Reply reply)
 {
     if (call.path == pingPath) {
-        reply({ 200, {}, "application/octet-stream", {} });
+        proto::PingAnswer answer;
+        answer.set_owning(m_session.owning());
+        answer.set_store_silent_ms(static_cast<std::uint32_t>(toMs(m_hooks.clock() - m_session.storeHeardAt())));
+        reply({ 200, answer.SerializeAsString(), "application/octet-stream", {} });
         return;
     }
     if (call.path == advicePath) {
@@ -479,6 +482,7 @@
         m_router.tick(now);
     }
     m_relay.tick(now);
+    watchOwner(now);
     auto due = std::exchange(m_retries, {});
     for (auto& [at, pending] : due) {
         if (at <= now)
@@ -501,6 +505,8 @@
         if (const auto router = m_router.wakeAt())
             at = std::min(at, *router);
     }
+    if (m_session.firstInLine())
+        at = std::min(at, std::max(now, m_watch.wakeAt()));
     if (const auto relay = m_relay.wakeAt())
         at = std::min(at, *relay);
     for (const auto& [when, pending] : m_retries)
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -8,6 +8,7 @@
 #include "http_listener.h"
 #include "order_relay.h"
 #include "order_router.h"
+#include "owner_watch.h"
 #include "peer_presence.h"
 #include "record_log.h"
 
@@ -130,6 +131,7 @@
     void serveOwnerCall(const proto::OwnerCall& call, const std::function<void(const proto::OwnerAnswer&)>& reply);
     void servePeerAdvice(const ServedCall& call, HttpListener::Reply reply);
     void checkPeers(Time now);
+    void watchOwner(Time now);
 
     const EntryNodeConfig m_settings;
     const EntryNodeHooks m_hooks;
@@ -156,6 +158,8 @@
     Time m_listRegainedAt {};
     Time m_pingAt {};
     PeerPresence m_peers;
+
+    OwnerWatch m_watch; ///< Of the owner, while this host is among the first in line to replace it.
     Time m_lateSince {};
     Time m_lateLast {};
 
--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -17,6 +17,7 @@
     constexpr std::chrono::milliseconds abstainTime { 5000 }; ///< Cuts of single hosts last some seconds.
     constexpr std::chrono::milliseconds lateLoop { 150 }; ///< A loop this late can't keep deadlines of a second.
     constexpr std::chrono::milliseconds lateFor { 1500 }; ///< Lateness of this duration is no single long task.
+    constexpr std::chrono::milliseconds storeHeardLately { 200 }; ///< Below what an owner may go without the store.
     constexpr std::chrono::milliseconds adviceSlack { 700 }; ///< Wait behind another call, and the way.
 
     std::chrono::milliseconds ceilMs(std::chrono::microseconds time)
@@ -193,6 +194,28 @@
     }
 }
 
+/** The hosts that are first in line ask the owner whether it serves, and claim the cell if it does not. */
+void EntryNode::watchOwner(Time now)
+{
+    const bool follows = m_session.firstInLine() && m_session.reachesStore(now);
+    m_watch.follow(follows ? m_session.owner()->revision : Revision {}, now);
+    if (!m_watch.due(now))
+        return;
+    m_watch.asked(now);
+    m_hooks.callPeer(m_session.owner()->address, pingPath, {}, OwnerWatch::timeout,
+        [this, owner = m_session.owner()->revision](HttpResult&& result) {
+            const Time at = m_hooks.clock();
+            std::optional<OwnerSign> sign;
+            proto::PingAnswer answer;
+            if (result.complete && result.status == 200 && answer.ParseFromString(result.body))
+                sign = OwnerSign { answer.owning(), std::chrono::milliseconds(answer.store_silent_ms()) };
+            // While the store does not answer this host either, nobody can claim.
+            const auto reason = m_watch.answered(owner, sign, at);
+            if (reason && at - m_session.storeHeardAt() < storeHeardLately)
+                m_session.ownerFailed(*reason, at);
+        });
+}
+
 /** The event loop came around late: the host is too slow at present. @param late By how much. @param now Time. */
 void EntryNode::loopWasLate(std::chrono::milliseconds late, Time now)
 {
--- a/tests/test_cell_session.cpp
+++ b/tests/test_cell_session.cpp
@@ -250,3 +250,19 @@
     pass(500ms);
     CHECK_FALSE(take<StoreTxn>());
 }
+
+TEST_CASE_FIXTURE(Fixture, "an owner that does not serve any more is replaced under its revision before its lease ends")
+{
+    startUp({ ownerKey("h2", 4) });
+    pass(1ms);
+    CHECK(session.firstInLine());
+    session.ownerFailed("test", now);
+    pass(1ms);
+    pass(1ms);
+    auto claim = take<StoreTxn>();
+    REQUIRE(claim);
+    CHECK(std::get<StoreTxn>(claim->request).compares[0].modRevision == Revision(4));
+    claim->reply(ok(9));
+    CHECK(session.owning());
+    CHECK_FALSE(session.firstInLine());
+}
