--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 BUILD ?= build
 SEED ?= 1
 STEPS ?= 100000
+SECONDS = 20
 
-.PHONY: help deps build check demo live bench soak format lint proto sanitize fuzz capacity
+.PHONY: help deps build check demo live bench soak soak-live format lint proto sanitize fuzz capacity
 
 help: ## lists the commands
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*## /\t/'
@@ -37,6 +38,9 @@
 live: build ## faults of processes, store and targets against a live cell, about 3 min, SEED=n
 	@python3 tests/live_faults.py --build $(BUILD) --seed $(SEED)
 
+soak-live: build ## faults on real sp-entry processes, SEED=n SECONDS=n
+	@python3 tests/soak/entry_soak.py --bin $(BUILD)/sp-entry --seed $(SEED) --seconds $(SECONDS)
+
 bench: build ## figures of the deciding functions against their targets, SEED=n, ONLY=text
 	@$(BUILD)/sp-bench --seed $(SEED) --only "$(ONLY)"
 
--- a/src/relay_codec.cpp
+++ b/src/relay_codec.cpp
@@ -141,7 +141,7 @@
         report.ended.push_back(
             { end.number(), taskFromProto(end.task()), end.run(), static_cast<EndKind>(end.kind()), end.checkpoint() });
     }
-    return std::pair(std::move(answer), std::move(report));
+    return std::pair(answer, std::move(report));
 }
 
 } // namespace sp
