--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	@python3 tests/live_faults.py --build $(BUILD) --seed $(SEED)
 
 soak-live: build ## faults on real sp-entry processes, SEED=n SECONDS=n
-	@python3 tests/soak/entry_soak.py --bin $(BUILD)/sp-entry --seed $(SEED) --seconds $(SECONDS)
+	@python3 tests/platform_soak/entry_soak.py --bin $(BUILD)/sp-entry --seed $(SEED) --seconds $(SECONDS)
 
 bench: build ## figures of the deciding functions against their targets, SEED=n, ONLY=text
 	@$(BUILD)/sp-bench --seed $(SEED) --only "$(ONLY)"
--- a/tests/test_cell_owner.cpp
+++ b/tests/test_cell_owner.cpp
@@ -15,6 +15,23 @@
         run(100ms);
     }
     ~Fixture() { CHECK(violations == std::vector<std::string> {}); }
+
+    /** Job j1 is cancelled; while its runs take 600 ms to stop, a new owner takes over and gets j2, three large tasks.
+     */
+    void takeOverWhileStopping(const StepSpec& cancelled)
+    {
+        specs[JobId("j1")] = { cancelled };
+        specs[JobId("j2")] = { step(3, 12000) };
+        lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+        stopsTake = 600ms;
+        submit("j1", specs[JobId("j1")]);
+        run(500ms);
+        cancel("j1");
+        run(50ms);
+        REQUIRE(running("j1") == cancelled.tasks);
+        takeOver();
+        submit("j2", specs[JobId("j2")]);
+    }
 };
 
 } // namespace
@@ -279,17 +296,7 @@
 // Runs of a job whose specification was removed counted as nothing, and the target was filled beyond its capacity.
 TEST_CASE_FIXTURE(Fixture, "runs of ended jobs that a new owner finds hold their capacity until they have stopped")
 {
-    specs[JobId("j1")] = { step(3, 12000) };
-    specs[JobId("j2")] = { step(3, 12000) };
-    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
-    stopsTake = 600ms;
-    submit("j1", specs[JobId("j1")]);
-    run(500ms);
-    cancel("j1");
-    run(50ms);
-    REQUIRE(running("j1") == 3);
-    takeOver();
-    submit("j2", specs[JobId("j2")]);
+    takeOverWhileStopping(step(3, 12000));
     run(2s);
     CHECK(running("j2") == 3);
 }
@@ -297,17 +304,7 @@
 TEST_CASE_FIXTURE(
     Fixture, "a target is free only once all runs of ended jobs that a new owner finds there have stopped")
 {
-    specs[JobId("j1")] = { step(6, 7000) };
-    specs[JobId("j2")] = { step(3, 12000) };
-    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
-    stopsTake = 600ms;
-    submit("j1", specs[JobId("j1")]);
-    run(500ms);
-    cancel("j1");
-    run(50ms);
-    REQUIRE(running("j1") == 6);
-    takeOver();
-    submit("j2", specs[JobId("j2")]);
+    takeOverWhileStopping(step(6, 7000));
     run(100ms);
     for (auto& [id, target] : targets) {
         REQUIRE(target.runs.size() == 2);
