Change: questions to the advisor spread over more targets, so that one is mostly enough

Cause: a question named as many targets as had room for 1.3 times the need in the mean; one denial of a large target asked for a second question, which costs as much again, while a further target costs a seventieth of it. Steps of one moment also asked about the same targets. Load test: 504 questions for 200 steps before, at most 215 after.

--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -1,5 +1,6 @@
 #include "cell_owner.h"
 
+#include "fnv_hash_func.h"
 #include "log_line.h"
 
 #include <algorithm>
@@ -16,7 +17,8 @@
     constexpr std::chrono::milliseconds adviceIdle {
         40
     }; ///< Between looks for targets to ask about, while all are full.
-    constexpr double adviceSurplus = 1.3; ///< Room asked for beyond the need, since others place meanwhile.
+    constexpr double adviceSurplus = 1.7; ///< Room asked for beyond the need: answers vary, and others place meanwhile.
+    constexpr std::uint32_t adviceSpread = 4; ///< Of so many parts of the need no target counts for more than one.
     constexpr double unknownAllowedShare = 0.5; ///< Assumed until a queue's advisor has answered.
     constexpr double leastAllowedShare = 0.1; ///< Keeps one bad answer from asking for everything.
     constexpr double lateFactor = 3; ///< A job that ends after this many times its objective earns nothing.
@@ -316,9 +318,12 @@
     struct Asked {
         TargetId id;
         double expected = 0; ///< Tasks that the target will take if asked.
+        std::uint64_t rank = 0; ///< Order among equals, so that steps of one moment ask about different targets.
     };
     const auto share = m_allowedShare.try_emplace(queue->id, unknownAllowedShare).first->second;
     const auto sameStep = tasksByTarget(state);
+    const std::uint32_t mostExpected = (need + adviceSpread - 1) / adviceSpread; // One denial must not decide.
+    const std::uint64_t seed = fnvHash(stepText(key));
     std::vector<Asked> asked;
     double have = 0;
     for (const auto& [id, target] : m_targets) {
@@ -335,12 +340,13 @@
             have += fits;
             continue;
         }
-        asked.push_back({ id, fits * (known != advice.allowed.end() ? 1.0 : std::max(share, leastAllowedShare)) });
+        const double likely = known != advice.allowed.end() ? 1.0 : std::max(share, leastAllowedShare);
+        asked.push_back({ id, std::min(fits, mostExpected) * likely, fnvHash(id.value, seed) });
     }
     // Targets that are surely allowed and those with the most room come first.
     const std::size_t wanted = std::min(mostAdvised, asked.size());
     std::partial_sort(asked.begin(), asked.begin() + static_cast<std::ptrdiff_t>(wanted), asked.end(),
-        [](const Asked& a, const Asked& b) { return std::tie(b.expected, a.id) < std::tie(a.expected, b.id); });
+        [](const Asked& a, const Asked& b) { return std::tie(b.expected, a.rank) < std::tie(a.expected, b.rank); });
     asked.resize(wanted);
     AdviceQuestion question { key, {}, {}, queue->priority, job.objectiveAt() };
     for (const Asked& target : asked) {
--- a/tests/test_cell_load.cpp
+++ b/tests/test_cell_load.cpp
@@ -150,3 +150,20 @@
     CHECK(shareWithin("late", 1000ms) >= 0.9);
     CHECK(violations == std::vector<std::string> {});
 }
+
+TEST_CASE_FIXTURE(Load, "one question to the advisor is mostly enough for a step")
+{
+    addTargets(100, { 32000, 64000, 0 });
+    config.queues[0].advisor = AdvisorTraits { 20ms, 300us, 2000ms };
+    advisorAllows = [](const TargetId& id) { return std::hash<std::string>()(id.value) % 10 < 7; };
+    takeOver();
+    run(200ms);
+    for (int i = 0; i < 200; ++i) { // 50 jobs a second for four seconds, each of 45 cores.
+        hand("j" + std::to_string(i), QueueId("q"), { step(10, 4500) });
+        play(20ms);
+    }
+    play(1s);
+    CHECK(questions.size() <= 215);
+    CHECK(shareWithin("j", 800ms) >= 0.95);
+    CHECK(violations == std::vector<std::string> {});
+}
