--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -331,7 +331,8 @@
     if (!isFinal(job->state))
         finish(*job, JobState::Cancelled, now);
     runWhenSaved(*job, [reply = std::move(reply)](bool saved) {
-        reply({ saved ? JobAnswer::Kind::Ok : JobAnswer::Kind::Unknown, {}, "the owner changed before it was stored" });
+        reply({ saved ? JobAnswer::Kind::Ok : JobAnswer::Kind::Unknown, {},
+            saved ? "stored" : "the owner changed before it was stored" });
     });
     m_dispatchDue = true;
     wake(now);
