--- a/tests/test_order_relay.cpp
+++ b/tests/test_order_relay.cpp
@@ -273,7 +273,7 @@
 
 TEST_CASE("orders and results are the same after their way between hosts")
 {
-    rc::check([] {
+    const bool same = rc::check([] {
         const auto number = [] { return *rc::gen::inRange<std::uint32_t>(0, 1000000); };
         const auto text = [] { return *rc::gen::arbitrary<std::string>(); };
         const CellTaskKey task { JobId("job"), number(), number(), number() };
@@ -305,4 +305,5 @@
         RC_ASSERT(answered->second.ended[0].kind == EndKind::Broken);
         RC_ASSERT(answered->second.ended[0].checkpoint == report.ended[0].checkpoint);
     });
+    CHECK(same);
 }
