Fix: a host that is first in line did not wait while there was nobody to ask

Found while reading the diff again: the event loop was told a time in the past while no owner was followed or a question had no answer yet, for instance during an outage of the store, and went round without waiting. The watch now names a time only when it has something to ask.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -505,8 +505,8 @@
         if (const auto router = m_router.wakeAt())
             at = std::min(at, *router);
     }
-    if (m_session.firstInLine())
-        at = std::min(at, std::max(now, m_watch.wakeAt()));
+    if (const auto watch = m_watch.wakeAt())
+        at = std::min(at, *watch);
     if (const auto relay = m_relay.wakeAt())
         at = std::min(at, *relay);
     for (const auto& [when, pending] : m_retries)
--- a/src/owner_watch.cpp
+++ b/src/owner_watch.cpp
@@ -25,7 +25,17 @@
 }
 
 /** Whether the owner is to be asked. @param now Present time. @return True if so. */
-bool OwnerWatch::due(Time now) const { return m_owner.value != 0 && !m_open && now >= m_askAt; }
+bool OwnerWatch::due(Time now) const
+{
+    const auto at = wakeAt();
+    return at && now >= *at;
+}
+
+/** When the owner is to be asked next. @return Time, nothing while none is followed or a question is open. */
+std::optional<Time> OwnerWatch::wakeAt() const
+{
+    return m_owner.value != 0 && !m_open ? std::optional(m_askAt) : std::nullopt;
+}
 
 /** The owner was asked. @param now Present time. */
 void OwnerWatch::asked(Time now)
--- a/src/owner_watch.h
+++ b/src/owner_watch.h
@@ -26,7 +26,7 @@
 
     void follow(Revision owner, Time now);
     bool due(Time now) const;
-    Time wakeAt() const { return m_askAt; }
+    std::optional<Time> wakeAt() const;
     void asked(Time now);
     std::optional<std::string> answered(Revision owner, const std::optional<OwnerSign>& sign, Time now);
 
--- a/tests/test_owner_watch.cpp
+++ b/tests/test_owner_watch.cpp
@@ -56,10 +56,12 @@
 TEST_CASE_FIXTURE(Fixture, "answers about an earlier owner are ignored")
 {
     watch.asked(now);
+    CHECK_FALSE(watch.wakeAt());
     watch.follow(Revision(9), now);
     CHECK_FALSE(watch.answered(Revision(5), OwnerSign { false, 0ms }, now));
     CHECK_FALSE(watch.due(now));
     watch.follow({}, now);
     now += 10s;
     CHECK_FALSE(watch.due(now));
+    CHECK_FALSE(watch.wakeAt()); // A time in the past would keep the event loop from waiting.
 }
