Fix: log lines were cut where a collector reads blocks

Cause: a batch of lines was written with one call, up to 70 KB. The reader of the users' platform takes 8 KB of a write and loses the rest; lines ran into each other (event=jat=...), without a count. Ruled out: the ring and the rate limit, which count what they drop. Change: groups of whole lines of at most PIPE_BUF bytes, which a pipe keeps whole; lines that can't be written are counted.

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -2,8 +2,10 @@
 #include "ring.h"
 #include "time_type.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <climits>
 #include <glog/logging.h>
 #include <poll.h>
 #include <thread>
@@ -15,6 +17,8 @@
 
     constexpr std::size_t logRingLines = 65536; ///< At 20,000 decisions a second this bridges a stall of three seconds.
     constexpr int structuredBatchMs = 100; ///< Structured lines are written in batches, since each wake-up costs.
+    /** Pipes keep writes of up to this size whole; collectors that read in blocks lose the rest of longer writes. */
+    constexpr std::size_t maxWriteBytes = PIPE_BUF;
     constexpr std::size_t structuredRingLines = 4096; ///< About 1 MB of lines that wait for a blocked reader.
 
     struct Line {
@@ -49,20 +53,46 @@
         out += '\n';
     }
 
-    /** Writes all bytes to standard output; a reader that is slow only holds up this thread. */
-    void writeOut(std::string_view bytes)
+    /** Returns the size of the longest group of whole lines that fits into one atomic write, or of one longer line. */
+    std::size_t nextWriteSize(std::string_view lines)
+    {
+        if (lines.size() <= maxWriteBytes)
+            return lines.size();
+        const std::size_t lastBreak = lines.rfind('\n', maxWriteBytes - 1);
+        const std::size_t end = lastBreak == std::string_view::npos ? lines.find('\n') : lastBreak;
+        return end == std::string_view::npos ? lines.size() : end + 1;
+    }
+
+    /** Writes some bytes to standard output. @return False if nobody reads any more or the process is ending. */
+    bool writeAll(std::string_view bytes)
     {
         while (!bytes.empty()) {
             const ssize_t count = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
-            if (count > 0)
+            if (count >= 0) {
                 bytes.remove_prefix(static_cast<std::size_t>(count));
-            else if (errno == EAGAIN) {
+            } else if (errno == EAGAIN) {
                 pollfd waitFor { STDOUT_FILENO, POLLOUT, 0 };
                 poll(&waitFor, 1, structuredBatchMs);
                 if (!running.load(std::memory_order_relaxed))
-                    return; // The process is ending and must not wait for a reader.
-            } else if (errno != EINTR)
-                return; // Nobody reads any more; there is no place left to report that to.
+                    return false; // The process is ending and must not wait for a reader.
+            } else if (errno != EINTR) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Writes whole lines to standard output; a slow reader only delays this thread. Lines not written are counted. */
+    void writeOut(std::string_view lines)
+    {
+        while (!lines.empty()) {
+            const std::size_t size = nextWriteSize(lines);
+            if (!writeAll(lines.substr(0, size))) {
+                linesDropped.fetch_add(static_cast<std::uint64_t>(std::count(lines.begin(), lines.end(), '\n')),
+                    std::memory_order_relaxed);
+                return;
+            }
+            lines.remove_prefix(size);
         }
     }
 
