--- a/src/cell_recovery.cpp
+++ b/src/cell_recovery.cpp
@@ -46,12 +46,15 @@
         m_jobs.emplace(id, std::move(owned));
         if (isFinal(job.state))
             continue;
+        std::size_t openTasks = 0;
+        std::size_t runs = 0;
         for (auto& [number, occurrence] : job.occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
                 auto& tasks = occurrence.steps[s].tasks;
                 for (std::uint32_t i = 0; i < tasks.size(); ++i) {
                     TaskState& task = tasks[i];
                     job.begun |= task.run > 0;
+                    openTasks += task.done ? 0 : 1;
                     if (task.done || task.recordedTarget.empty())
                         continue;
                     // The run may still be active until the target's report or the end of its lease shows otherwise.
@@ -59,11 +62,25 @@
                     CellTarget& target = findOrAddTarget(task.recordedTarget);
                     task.target = &target;
                     const Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recovered, now);
-                    target.occupy({ id, number, s, i }, occupant);
-                    ++runsToConfirm;
+                    const CellTaskKey key { id, number, s, i };
+                    target.occupy(key, occupant);
+                    ++runs;
+                    LogLine(LogLevel::Info, "run_recovered")
+                        .with("task", taskText(key))
+                        .with("run", task.run)
+                        .with("target", target.id())
+                        .with("lease_ends_in_ms", toMs(target.lapsesBy - now));
                 }
             }
         }
+        runsToConfirm += runs;
+        LogLine(LogLevel::Info, "job_recovered")
+            .with("job", id)
+            .with("queue", job.spec.queue)
+            .with("record", item.modRevision)
+            .with("open_tasks", openTasks)
+            .with("runs", runs)
+            .with("age_ms", age.count());
         activateJob(job, now);
     }
     LogLine(LogLevel::Info, "owner_began")
