--- a/src/advice_broker.cpp
+++ b/src/advice_broker.cpp
@@ -9,15 +9,17 @@
     /** Calls of this duration or longer delay the calls behind them by too much for jobs with short objectives. */
     constexpr std::chrono::milliseconds longCallThreshold { 100 };
     constexpr int maxShortCallsInFlight = 2; ///< Per host; two keep the advisor busy during a network round trip.
-    /** One host in this many, rounded up, sends short calls only; none if the cell has a single host. */
-    constexpr std::size_t hostsPerShortCallHost = 3;
+    /** One host in this many sends short calls only; none if the cell has a single host. */
+    constexpr std::size_t hostsPerShortCallHost = 5;
     constexpr std::chrono::milliseconds hostBackOff { 1500 }; ///< Back-off of a host after a call without an answer.
     constexpr int maxBackOffDoublings = 2; ///< Limits the back-off of a host that repeatedly gets no answer to 6 s.
+    /** After this many calls that overtake it, the question that has waited longest is sent. */
+    constexpr int maxCallsOvertaking = 2;
 
 } // namespace
 
-AdviceBroker::AdviceBroker(Send send)
-    : m_send(std::move(send))
+AdviceBroker::AdviceBroker(AdviceBrokerHooks hooks)
+    : m_hooks(std::move(hooks))
 {
 }
 
@@ -32,29 +34,49 @@
     m_hosts = std::move(updated);
 }
 
-bool AdviceBroker::isLong(const AdviceQuestion& question) const { return question.callTime >= longCallThreshold; }
+bool AdviceBroker::isLong(const AdviceQuestion& question) { return question.callTime >= longCallThreshold; }
 
 /** Adds a question, ordered by priority and then by AdviceQuestion::order, and sends it if a host is free. */
 void AdviceBroker::ask(const AdviceQuestion& question, Time now)
 {
-    const auto precedes = [](const AdviceQuestion& a, const AdviceQuestion& b) {
-        return std::tie(a.priority, a.order) < std::tie(b.priority, b.order);
+    const auto precedes = [](const AdviceQuestion& added, const WaitingQuestion& waiting) {
+        return std::tie(added.priority, added.order) < std::tie(waiting.question.priority, waiting.question.order);
     };
     m_waitingQuestions.insert(
-        std::upper_bound(m_waitingQuestions.begin(), m_waitingQuestions.end(), question, precedes), question);
+        std::upper_bound(m_waitingQuestions.begin(), m_waitingQuestions.end(), question, precedes),
+        { question, ++m_lastSerial });
     tick(now);
 }
 
-AdviceBroker::Host* AdviceBroker::chooseHost(const AdviceQuestion& question, Time now, HostId& id)
+/**
+ * Returns whether a host sends short calls only.
+ * @param index Position of the host in the order of ids. Neighbours tend to be in one data centre and fail together.
+ */
+bool AdviceBroker::isShortCallHost(std::size_t index) const
+{
+    return m_hosts.size() > 1 && index % hostsPerShortCallHost == 0;
+}
+
+/** Returns whether short calls can do without the hosts that send long ones. */
+bool AdviceBroker::hasShortCallHost(Time now) const
 {
-    const bool isLongCall = isLong(question);
-    const std::size_t shortCallHosts
-        = m_hosts.size() > 1 ? (m_hosts.size() + hostsPerShortCallHost - 1) / hostsPerShortCallHost : 0;
+    std::size_t index = 0;
+    return std::any_of(m_hosts.begin(), m_hosts.end(),
+        [&](const auto& entry) { return isShortCallHost(index++) && now >= entry.second.backOffUntil; });
+}
+
+/** Returns the host that is expected to be free first among those that may send a call, null if there is none. */
+AdviceBroker::Host* AdviceBroker::chooseHost(bool isLongCall, Time now, HostId& id)
+{
+    // A host with a steady flow of short calls would never be free for a long one.
+    const bool shortOnReservedOnly = !isLongCall && hasShortCallHost(now)
+        && std::any_of(m_waitingQuestions.begin(), m_waitingQuestions.end(),
+            [](const WaitingQuestion& waiting) { return isLong(waiting.question); });
     Host* best = nullptr;
     std::size_t index = 0;
     for (auto& [host, state] : m_hosts) {
-        const bool shortOnly = index++ < shortCallHosts;
-        if (now < state.backOffUntil || (isLongCall && shortOnly))
+        const bool shortOnly = isShortCallHost(index++);
+        if (now < state.backOffUntil || (shortOnly ? isLongCall : shortOnReservedOnly))
             continue;
         if (isLongCall ? state.callsInFlight > 0
                        : state.longCallsInFlight > 0 || state.callsInFlight >= maxShortCallsInFlight)
@@ -67,23 +89,51 @@
     return best;
 }
 
+/** Returns the most urgent question of a class, or the one that has waited longest; the end if none waits. */
+AdviceBroker::Waiting::iterator AdviceBroker::findQuestion(bool isLongCall, bool oldest)
+{
+    auto found = m_waitingQuestions.end();
+    for (auto it = m_waitingQuestions.begin(); it != m_waitingQuestions.end(); ++it) {
+        if (isLong(it->question) != isLongCall)
+            continue;
+        if (!oldest)
+            return it;
+        if (found == m_waitingQuestions.end() || it->serial < found->serial)
+            found = it;
+    }
+    return found;
+}
+
+/** Sends or discards the next question of a class. @return False if none waits or no host is free for it. */
+bool AdviceBroker::sendNext(bool isLongCall, Time now)
+{
+    int& overtaken = m_callsOvertaking.at(isLongCall ? 1 : 0);
+    const auto oldest = findQuestion(isLongCall, true);
+    const auto next = overtaken >= maxCallsOvertaking ? oldest : findQuestion(isLongCall, false);
+    HostId id;
+    Host* host = next == m_waitingQuestions.end() ? nullptr : chooseHost(isLongCall, now, id);
+    if (!host)
+        return false;
+    const bool isOldest = next == oldest;
+    AdviceQuestion question = std::move(next->question);
+    m_waitingQuestions.erase(next);
+    if (!m_hooks.refresh(question, now))
+        return true;
+    overtaken = isOldest ? 0 : overtaken + 1;
+    ++host->callsInFlight;
+    host->longCallsInFlight += isLongCall ? 1 : 0;
+    host->estimatedIdleAt = std::max(host->estimatedIdleAt, now) + question.callTime;
+    m_callsInFlight[++m_lastCallId] = { id, isLongCall };
+    m_hooks.send(id, question, m_lastCallId);
+    return true;
+}
+
 /** Sends waiting questions through free hosts. */
 void AdviceBroker::tick(Time now)
 {
-    for (auto it = m_waitingQuestions.begin(); it != m_waitingQuestions.end();) {
-        HostId id;
-        Host* host = chooseHost(*it, now, id);
-        if (!host) {
-            ++it;
-            continue;
-        }
-        const AdviceQuestion question = std::move(*it);
-        it = m_waitingQuestions.erase(it);
-        ++host->callsInFlight;
-        host->longCallsInFlight += isLong(question) ? 1 : 0;
-        host->estimatedIdleAt = std::max(host->estimatedIdleAt, now) + question.callTime;
-        m_callsInFlight[++m_lastCallId] = { id, isLong(question) };
-        m_send(id, question, m_lastCallId);
+    const bool longFirst = hasShortCallHost(now);
+    for (const bool isLongCall : { longFirst, !longFirst }) {
+        while (sendNext(isLongCall, now)) { }
     }
 }
 
--- a/src/advice_broker.h
+++ b/src/advice_broker.h
@@ -3,22 +3,31 @@
 
 #include "cell_owner.h"
 
+#include <array>
 #include <map>
 #include <vector>
 
 namespace sp {
 
+/** Functions through which the broker prepares and sends questions. */
+struct AdviceBrokerHooks {
+    /** Sends a question through a host; its result is reported to AdviceBroker::finished() with the same call number.
+     */
+    std::function<void(const HostId& host, const AdviceQuestion& question, std::uint64_t callId)> send;
+    /** Brings a question up to date just before it is sent; returns false if it has become needless. */
+    std::function<bool(AdviceQuestion& question, Time now)> refresh;
+};
+
 /**
  * Queues questions for the advisor and selects the host that sends each of them. The advisor processes one call at a
  * time per calling host. Questions are queued here rather than at the advisor, so that those of a higher priority are
- * sent first. Some hosts are reserved for short calls, which avoids head-of-line blocking by long ones.
+ * sent first and each names the targets that have room when it is sent. Some hosts are reserved for short calls, which
+ * avoids head-of-line blocking by long ones. Every few calls the question that has waited longest is sent, so that none
+ * waits forever while urgent ones keep all hosts busy.
  */
 class AdviceBroker {
 public:
-    /** Sends a question through a host; its result is reported to finished() with the same call number. */
-    using Send = std::function<void(const HostId& host, const AdviceQuestion& question, std::uint64_t callId)>;
-
-    explicit AdviceBroker(Send send);
+    explicit AdviceBroker(AdviceBrokerHooks hooks);
     void setHosts(const std::vector<HostId>& hosts);
     void ask(const AdviceQuestion& question, Time now);
     void finished(std::uint64_t callId, bool answered, Time now);
@@ -38,15 +47,27 @@
         HostId host;
         bool isLong = false;
     };
+    struct WaitingQuestion {
+        AdviceQuestion question;
+        std::uint64_t serial = 0; ///< Ascending in the order in which questions were asked.
+    };
+    using Waiting = std::vector<WaitingQuestion>;
 
-    Host* chooseHost(const AdviceQuestion& question, Time now, HostId& id);
-    bool isLong(const AdviceQuestion& question) const;
+    bool isShortCallHost(std::size_t index) const;
+    bool hasShortCallHost(Time now) const;
+    Host* chooseHost(bool isLongCall, Time now, HostId& id);
+    Waiting::iterator findQuestion(bool isLongCall, bool oldest);
+    bool sendNext(bool isLongCall, Time now);
+    static bool isLong(const AdviceQuestion& question);
 
-    const Send m_send;
+    const AdviceBrokerHooks m_hooks;
     std::map<HostId, Host> m_hosts;
-    std::vector<AdviceQuestion> m_waitingQuestions;
+    Waiting m_waitingQuestions; ///< By priority and then by AdviceQuestion::order.
     std::map<std::uint64_t, CallInFlight> m_callsInFlight;
     std::uint64_t m_lastCallId = 0;
+    std::uint64_t m_lastSerial = 0;
+    /** Calls in a row that overtook the question that has waited longest; for short calls and for long ones. */
+    std::array<int, 2> m_callsOvertaking {};
 };
 
 } // namespace sp
--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -59,6 +59,16 @@
 
 } // namespace
 
+std::unordered_map<const CellTarget*, std::uint32_t> StepState::tasksByTarget() const
+{
+    std::unordered_map<const CellTarget*, std::uint32_t> counts;
+    for (const TaskState& task : tasks) {
+        if (task.target)
+            ++counts[task.target];
+    }
+    return counts;
+}
+
 /** Returns the state of an occurrence and creates it if it does not exist yet. */
 OccurrenceState& CellJob::beginOccurrence(std::uint32_t number)
 {
--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace sp {
@@ -40,10 +41,11 @@
 /** Answers of the advisor about one step. */
 struct StepAdvice {
     std::unordered_map<TargetId, AdviceTicketState> allowed; ///< Targets that may run the step.
-    /** Targets that may not run the step; the advisor never changes its answer about a target. */
-    std::set<TargetId> denied;
+    /** CellTarget::serial of all targets that the advisor has answered about; its answer never changes. */
+    std::unordered_set<std::uint32_t> answered;
     int inFlight = 0; ///< Number of questions that are not answered yet.
-    Time notBefore {}; ///< Back-off after a failed question: no question is sent before this time.
+    Time notBefore {}; ///< Back-off after a failed or needless question: no question is sent before this time.
+    int needless = 0; ///< Number of consecutive questions that were not sent, since no target could help.
 };
 
 /** State of one step of one occurrence. */
@@ -55,6 +57,8 @@
 
     /** Returns whether all tasks of the step are done. */
     bool complete() const { return done == tasks.size(); }
+    /** Returns the number of tasks on each target. */
+    std::unordered_map<const CellTarget*, std::uint32_t> tasksByTarget() const;
 };
 
 /** State of one occurrence, that is of one execution of all steps of a job. */
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -42,6 +42,8 @@
     , m_adviceQuestions(metrics.counter("sp_cell_advice_questions_total", "Questions to the advisor."))
     , m_openJobs(metrics.gauge("sp_cell_open_jobs", "Jobs that have not ended."))
     , m_taskWaitSeconds(metrics.histogram("sp_cell_task_wait_seconds", "Time from readiness of a task to its order."))
+    , m_adviceWaitSeconds(
+          metrics.histogram("sp_cell_advice_wait_seconds", "Time that a question to the advisor waits to be sent."))
     , m_acceptSeconds(metrics.histogram("sp_cell_accept_seconds", "Time from submission to the stored record."))
 {
 }
@@ -71,7 +73,9 @@
     m_batches = {};
     m_recordRemovals.clear();
     m_targets.clear();
+    m_usableTargets.clear();
     m_reachability.clear();
+    m_adviceClaims.clear();
     m_lossRate = 0;
     m_wakeAt.reset();
     m_openJobs.set(0);
@@ -538,6 +542,7 @@
             const bool gone = !target.listed && target.occupants.empty() && target.silent() && target.lapsed(now);
             it = gone ? m_targets.erase(it) : std::next(it);
         }
+        m_usableTargets.clear();
         for (CellJob* job : m_open) {
             if (job->timed())
                 beginDueOccurrences(*job, now);
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -40,6 +40,7 @@
     std::chrono::microseconds callTime { 0 }; ///< Expected duration of the advisor call.
     int priority = 0; ///< Priority of the queue; 0 is the most urgent.
     Time order {}; ///< Requests of equal priority are sent in ascending order of this time.
+    Time askedAt {}; ///< Time at which the step began to wait for an answer.
 };
 
 /** Advisor's answer to an AdviceQuestion. */
@@ -54,6 +55,7 @@
     std::function<void(const CellTarget&, const CellTaskKey&, std::uint32_t run, FencingToken)> stop;
     std::function<void(const CellTarget&, const CellTaskKey&, std::uint32_t run, int percent, FencingToken)> pace;
     std::function<void(const CellTarget&, const LookOrder&)> look;
+    /** Queues a question without targets. refreshQuestion() has to be called just before it is sent. */
     std::function<void(const AdviceQuestion&)> ask;
     std::function<void(Time at)> flush; ///< Asks for unsaved records to be written by this time.
     /** Reports that a target has seen a higher fencing token, so that ownership is lost. */
@@ -121,6 +123,7 @@
         const OrderAnswer& answer, Time now);
     void onReport(
         const TargetId& target, const LookOrder& order, const OrderAnswer& answer, const RunReport& report, Time now);
+    bool refreshQuestion(AdviceQuestion& question, Time now);
     void onAdvice(const AdviceQuestion& question, const AdviceReply& reply, Time now);
 
     std::vector<StoreWrite> collect(std::size_t lane, std::size_t limit);
@@ -145,6 +148,8 @@
     /** Maximum number of targets in one advice request. Job objectives are computed from the duration of such a call.
      */
     static constexpr std::size_t maxAdvisedTargets = 30;
+    /** Covers the store write and the call between a placement and its start. */
+    static constexpr std::chrono::milliseconds ticketMargin { 300 };
     /** Short enough to renew a lease several times before it expires. */
     static constexpr std::chrono::milliseconds reportWait { 1500 };
     /** Tasks of one step end close together; one report then covers several of them. */
@@ -164,6 +169,13 @@
         CellTaskKey taskKey(std::uint32_t index) const { return { job->spec.id, occurrence, step, index }; }
     };
 
+    /** Room on a target that a step will use once its question is answered. */
+    struct AdviceClaim {
+        StepKey step;
+        int priority = 0; ///< Priority of the step's queue.
+        Resources room;
+    };
+
     /** Contents of the transaction that a lane is writing. */
     struct RecordBatch {
         std::vector<CellJob*> jobs;
@@ -238,11 +250,15 @@
     void dispatch(Time now);
     std::vector<ReadyStep> readySteps(Time now);
     void placeStep(const ReadyStep& ready, Time now);
-    std::vector<PlacementOption> placementOptions(
-        const CellJob& job, const StepState& state, const StepSpec& step, Time now);
+    std::vector<PlacementOption> placementOptions(const ReadyStep& ready, Time now);
     static Occupant makeOccupant(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now);
     void assignTask(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
     void requestAdvice(CellJob& job, const StepKey& key, Time now);
+    void fillQuestion(CellJob& job, AdviceQuestion& question, Time now);
+    const std::vector<CellTarget*>& usableTargets(const ServiceId& service, Time now);
+    void claimRoom(const AdviceQuestion& question, const StepState& state, const StepSpec& spec);
+    void releaseClaims(const AdviceQuestion& question);
+    Resources claimedRoom(const TargetId& target, const StepKey& step, int priority) const;
     void placeGangStep(const ReadyStep& ready, std::vector<PlacementOption>& options, Time now);
     void wakeBy(Time at) { m_wakeAt = m_wakeAt ? std::min(*m_wakeAt, at) : at; }
     std::chrono::milliseconds leaseDuration() const;
@@ -267,8 +283,12 @@
     bool m_storeStalled = false; ///< The store does not answer, so records cannot be saved.
     std::vector<std::string> m_recordRemovals; ///< Keys of expired job records to delete.
     std::map<TargetId, std::unique_ptr<CellTarget>> m_targets;
+    std::uint32_t m_lastTargetSerial = 0;
+    /** Targets that may get new work, by service; determined when needed and valid until the next sweep. */
+    std::map<ServiceId, std::vector<CellTarget*>> m_usableTargets;
     /** Moving average of the share of targets that the advisor allows, by queue. */
     std::map<QueueId, double> m_allowedShare;
+    std::map<TargetId, std::vector<AdviceClaim>> m_adviceClaims; ///< Claims of questions that are not answered yet.
     std::map<DataCentreId, DataCentreReachability> m_reachability;
     double m_lossRate = 0; ///< Moving average of the share of calls to targets that get no answer.
     bool m_dispatchDue = false;
@@ -287,6 +307,7 @@
     Counter& m_adviceQuestions;
     Gauge& m_openJobs;
     Histogram& m_taskWaitSeconds;
+    Histogram& m_adviceWaitSeconds;
     Histogram& m_acceptSeconds;
 };
 
--- /dev/null
+++ b/src/cell_owner_advice.cpp
@@ -0,0 +1,204 @@
+#include "advice_targets.h"
+#include "cell_owner.h"
+
+#include "fnv_hash_func.h"
+#include "log_line.h"
+
+#include <algorithm>
+
+namespace sp {
+
+namespace {
+
+    constexpr std::chrono::milliseconds adviceRetry { 200 }; ///< Delay after an advice request without an answer.
+    /** Delay before the next search for candidate targets while all are full. */
+    constexpr std::chrono::milliseconds adviceIdlePause { 40 };
+    constexpr int maxIdlePauseDoublings = 3; ///< Limits the cost of many steps that wait for room in a large cell.
+    /** Initial share of allowed targets, until a queue's advisor has answered. */
+    constexpr double initialAllowedShare = 0.5;
+
+} // namespace
+
+/** Queues a question to the advisor about a step, unless one is under way already. */
+void CellOwner::requestAdvice(CellJob& job, const StepKey& key, Time now)
+{
+    const QueueConfig* queue = queueOf(job);
+    StepAdvice& advice = job.step(key)->advice;
+    if (!queue || !queue->advisor || advice.inFlight > 0 || now < advice.notBefore)
+        return;
+    ++advice.inFlight;
+    m_hooks.ask({ key, {}, queue->advisor->callTime(1), queue->priority, job.objectiveAt(), now });
+}
+
+/** Returns the targets of a service that may get new work. */
+const std::vector<CellTarget*>& CellOwner::usableTargets(const ServiceId& service, Time now)
+{
+    const auto [entry, added] = m_usableTargets.try_emplace(service);
+    if (added) {
+        for (const auto& [id, target] : m_targets) {
+            if (target->entry.service == service && target->usable(now) && dataCentreReachable(*target))
+                entry->second.push_back(target.get());
+        }
+    }
+    return entry->second;
+}
+
+/** Sets the targets of a question, those that may help to place the waiting tasks of its step, and its duration. */
+void CellOwner::fillQuestion(CellJob& job, AdviceQuestion& question, Time now)
+{
+    question.targets.clear();
+    const QueueConfig* queue = queueOf(job);
+    const StepState& state = *job.step(question.step);
+    if (!queue || !queue->advisor)
+        return;
+    const StepSpec& spec = job.spec.steps[question.step.step];
+    AdviceDemand demand { 0, m_allowedShare.try_emplace(queue->id, initialAllowedShare).first->second,
+        maxAdvisedTargets, spec.gang };
+    demand.tasks = static_cast<std::uint32_t>(
+        std::count_if(state.tasks.begin(), state.tasks.end(), [](const TaskState& task) { return task.waiting(); }));
+    if (demand.tasks == 0)
+        return;
+    const StepAdvice& advice = state.advice;
+    const auto sameStep = state.tasksByTarget();
+    const std::uint64_t seed = fnvHash(stepText(question.step));
+    const std::vector<CellTarget*>& targets = usableTargets(queue->service, now);
+    std::vector<AdviceCandidate> candidates;
+    candidates.reserve(targets.size());
+    for (std::uint32_t i = 0; i < targets.size(); ++i) {
+        CellTarget* target = targets[i];
+        AdviceCandidate candidate { i, 0, AdviceKnowledge::Unknown, 0 };
+        Resources room = target->room();
+        if (advice.answered.contains(target->serial)) {
+            const auto ticket = advice.allowed.find(target->id());
+            if (ticket == advice.allowed.end())
+                continue;
+            candidate.knowledge
+                = ticket->second.validUntil >= now + ticketMargin ? AdviceKnowledge::Valid : AdviceKnowledge::Allowed;
+            room -= claimedRoom(target->id(), question.step, question.priority);
+        } else if (!mayEverRun(*target, spec)) {
+            continue;
+        }
+        if (spec.reserved().fitsIn(room)) {
+            const auto same = sameStep.find(target);
+            candidate.fits = tasksThatFit({ target, room, same == sameStep.end() ? 0 : same->second }, spec);
+        }
+        candidate.rank = fnvHash(target->id().value, seed);
+        candidates.push_back(candidate);
+    }
+    for (const std::uint32_t index : chooseAdviceTargets(std::move(candidates), demand))
+        question.targets.push_back(targets[index]->id());
+    question.callTime = queue->advisor->callTime(question.targets.size());
+}
+
+/**
+ * Sets the targets of a question that is about to be sent.
+ * @return False if no target could help its step at present; it then gets no answer.
+ */
+bool CellOwner::refreshQuestion(AdviceQuestion& question, Time now)
+{
+    CellJob* job = m_active ? findOpenJob(question.step.job) : nullptr;
+    StepState* state = job ? job->step(question.step) : nullptr;
+    if (!state)
+        return false;
+    StepAdvice& advice = state->advice;
+    fillQuestion(*job, question, now);
+    if (question.targets.empty()) {
+        advice.inFlight = std::max(0, advice.inFlight - 1);
+        advice.notBefore = now + adviceIdlePause * (1 << std::min(advice.needless++, maxIdlePauseDoublings));
+        return false;
+    }
+    advice.needless = 0;
+    claimRoom(question, *state, job->spec.steps[question.step.step]);
+    m_adviceQuestions.add();
+    m_adviceWaitSeconds.record(now - question.askedAt);
+    LogLine(LogLevel::Info, "advice_asked")
+        .with("step", stepText(question.step))
+        .with("targets", question.targets.size())
+        .with("waited_ms", toMs(now - question.askedAt));
+    return true;
+}
+
+/**
+ * Claims room on the targets whose tickets a question renews. Meanwhile no step of the same or a lower priority asks
+ * for it, and no task of a lower priority is placed there.
+ */
+void CellOwner::claimRoom(const AdviceQuestion& question, const StepState& state, const StepSpec& spec)
+{
+    for (const TargetId& id : question.targets) {
+        CellTarget* target = state.advice.allowed.contains(id) ? findTarget(id) : nullptr;
+        if (!target)
+            continue;
+        AdviceClaim claim { question.step, question.priority, {} };
+        const std::uint32_t tasks = tasksThatFit({ target, target->room(), 0 }, spec);
+        for (std::uint32_t i = 0; i < tasks; ++i)
+            claim.room += spec.reserved();
+        m_adviceClaims[id].push_back(claim);
+    }
+}
+
+void CellOwner::releaseClaims(const AdviceQuestion& question)
+{
+    for (const TargetId& id : question.targets) {
+        const auto it = m_adviceClaims.find(id);
+        if (it == m_adviceClaims.end())
+            continue;
+        std::erase_if(it->second, [&](const AdviceClaim& claim) { return claim.step == question.step; });
+        if (it->second.empty())
+            m_adviceClaims.erase(it);
+    }
+}
+
+/** Returns the room on a target that other steps of at least this priority have claimed. */
+Resources CellOwner::claimedRoom(const TargetId& target, const StepKey& step, int priority) const
+{
+    Resources sum;
+    if (const auto it = m_adviceClaims.find(target); it != m_adviceClaims.end()) {
+        for (const AdviceClaim& claim : it->second) {
+            if (claim.step != step && claim.priority <= priority)
+                sum += claim.room;
+        }
+    }
+    return sum;
+}
+
+/** Records the targets that the advisor allows or denies. Denials are final for the step. */
+void CellOwner::onAdvice(const AdviceQuestion& question, const AdviceReply& reply, Time now)
+{
+    m_eventTime = now;
+    releaseClaims(question);
+    CellJob* job = m_active ? findOpenJob(question.step.job) : nullptr;
+    StepState* state = job ? job->step(question.step) : nullptr;
+    if (!state)
+        return;
+    StepAdvice& advice = state->advice;
+    advice.inFlight = std::max(0, advice.inFlight - 1);
+    LogLine(reply.answered ? LogLevel::Info : LogLevel::Warning, "advice_answered")
+        .with("step", stepText(question.step))
+        .with("answered", reply.answered)
+        .with("asked", question.targets.size())
+        .with("allowed", reply.allowed.size());
+    m_dispatchDue = true;
+    wakeBy(now);
+    const QueueConfig* queue = queueOf(*job);
+    if (!reply.answered || !queue || !queue->advisor) {
+        advice.notBefore = now + adviceRetry;
+        return;
+    }
+    std::size_t firstAnswers = 0; ///< Targets that the advisor had not answered about before.
+    std::size_t newlyAllowed = 0;
+    for (const TargetId& id : question.targets) {
+        if (const CellTarget* target = findTarget(id))
+            firstAnswers += advice.answered.insert(target->serial).second ? 1 : 0;
+    }
+    for (const auto& [id, ticket] : reply.allowed) {
+        newlyAllowed += advice.allowed.contains(id) ? 0 : 1;
+        advice.allowed[id] = { ticket, now + queue->advisor->ticketValidity };
+    }
+    if (firstAnswers == 0)
+        return;
+    constexpr double weight = 0.1; ///< Averages over about ten answers.
+    double& share = m_allowedShare.try_emplace(queue->id, initialAllowedShare).first->second;
+    share += weight * (std::min(1.0, static_cast<double>(newlyAllowed) / static_cast<double>(firstAnswers)) - share);
+}
+
+} // namespace sp
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -1,6 +1,5 @@
 #include "cell_owner.h"
 
-#include "fnv_hash_func.h"
 #include "log_line.h"
 
 #include <algorithm>
@@ -10,19 +9,6 @@
 
 namespace {
 
-    /** Covers the store write and the call between a placement and its start. */
-    constexpr std::chrono::milliseconds ticketMargin { 300 };
-    constexpr std::chrono::milliseconds adviceRetry { 200 }; ///< Delay after an advice request without an answer.
-    /** Delay before the next search for candidate targets while all are full. */
-    constexpr std::chrono::milliseconds adviceIdlePause { 40 };
-    /** Requests more room than needed, as answers vary and other steps are placed meanwhile. */
-    constexpr double adviceSurplusFactor = 1.7;
-    /** One target counts for at most 1/adviceSpreadParts of the needed tasks, so that one denial matters little. */
-    constexpr std::uint32_t adviceSpreadParts = 4;
-    /** Initial share of allowed targets, until a queue's advisor has answered. */
-    constexpr double initialAllowedShare = 0.5;
-    /** Lower bound, so that one answer with many denials does not cause requests for all targets. */
-    constexpr double minAllowedShare = 0.1;
     /** A job that ends later than this multiple of its objective earns nothing. */
     constexpr double lateObjectiveFactor = 3;
 
@@ -137,35 +123,23 @@
         placeStep(ready, now);
 }
 
-namespace {
-
-    /** Counts the tasks of a step on each target. */
-    std::map<const CellTarget*, std::uint32_t> tasksByTarget(const StepState& state)
-    {
-        std::map<const CellTarget*, std::uint32_t> counts;
-        for (const TaskState& task : state.tasks) {
-            if (task.target)
-                ++counts[task.target];
-        }
-        return counts;
-    }
-
-} // namespace
-
 /** Returns the targets with free capacity for a step. An advisor limits them to targets with a valid ticket. */
-std::vector<PlacementOption> CellOwner::placementOptions(
-    const CellJob& job, const StepState& state, const StepSpec& step, Time now)
+std::vector<PlacementOption> CellOwner::placementOptions(const ReadyStep& ready, Time now)
 {
+    const CellJob& job = *ready.job;
+    const StepState& state = *ready.job->step(ready.stepKey());
+    const StepSpec& step = job.spec.steps[ready.step];
     const ServiceId service = serviceOf(job);
     const QueueConfig* queue = queueOf(job);
-    const auto sameStep = tasksByTarget(state);
+    const auto sameStep = state.tasksByTarget();
     std::vector<PlacementOption> options;
     const auto consider = [&](CellTarget& target) {
         if (target.entry.service != service || !target.usable(now) || !dataCentreReachable(target)
             || !mayEverRun(target, step))
             return;
         const auto same = sameStep.find(&target);
-        const PlacementOption option { &target, target.room(), same == sameStep.end() ? 0 : same->second };
+        const Resources room = target.room() - claimedRoom(target.id(), ready.stepKey(), ready.priority - 1);
+        const PlacementOption option { &target, room, same == sameStep.end() ? 0 : same->second };
         if (tasksThatFit(option, step) > 0)
             options.push_back(option);
     };
@@ -187,7 +161,7 @@
     const StepKey stepKey = ready.stepKey();
     StepState& state = *job.step(stepKey);
     const StepSpec& spec = job.spec.steps[ready.step];
-    std::vector<PlacementOption> options = placementOptions(job, state, spec, now);
+    std::vector<PlacementOption> options = placementOptions(ready, now);
     if (spec.gang) {
         placeGangStep(ready, options, now);
         return;
@@ -308,110 +282,4 @@
     });
 }
 
-/** Sends an advice request for a step if the known allowed targets lack the capacity for its waiting tasks. */
-void CellOwner::requestAdvice(CellJob& job, const StepKey& key, Time now)
-{
-    const QueueConfig* queue = queueOf(job);
-    if (!queue || !queue->advisor)
-        return;
-    StepState& state = *job.step(key);
-    const StepSpec& spec = job.spec.steps[key.step];
-    StepAdvice& advice = state.advice;
-    if (advice.inFlight > 0 || now < advice.notBefore)
-        return;
-    std::uint32_t need = 0;
-    for (const TaskState& task : state.tasks)
-        need += task.waiting() ? 1 : 0;
-    struct AdviceCandidate {
-        TargetId id;
-        double expected = 0; ///< Expected number of tasks that the target will be allowed to take.
-        /** Hash that breaks ties, so that steps that become ready together request different targets. */
-        std::uint64_t rank = 0;
-    };
-    const auto share = m_allowedShare.try_emplace(queue->id, initialAllowedShare).first->second;
-    const auto sameStep = tasksByTarget(state);
-    const std::uint32_t maxPerTarget = (need + adviceSpreadParts - 1) / adviceSpreadParts;
-    const std::uint64_t seed = fnvHash(stepText(key));
-    std::vector<AdviceCandidate> candidates;
-    double expectedTasks = 0;
-    for (const auto& [id, target] : m_targets) {
-        if (target->entry.service != queue->service || !target->usable(now) || !dataCentreReachable(*target)
-            || advice.denied.contains(id) || !mayEverRun(*target, spec))
-            continue;
-        const auto same = sameStep.find(target.get());
-        const std::uint32_t fits
-            = tasksThatFit({ target.get(), target->room(), same == sameStep.end() ? 0 : same->second }, spec);
-        if (fits == 0)
-            continue;
-        const auto known = advice.allowed.find(id);
-        if (known != advice.allowed.end() && known->second.validUntil >= now + ticketMargin) {
-            expectedTasks += fits;
-            continue;
-        }
-        const double likely = known != advice.allowed.end() ? 1.0 : std::max(share, minAllowedShare);
-        candidates.push_back({ id, std::min(fits, maxPerTarget) * likely, fnvHash(id.value, seed) });
-    }
-    // Targets whose tickets have expired are allowed for certain; they and those with the most room come first.
-    const std::size_t candidateLimit = std::min(maxAdvisedTargets, candidates.size());
-    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(candidateLimit),
-        candidates.end(), [](const AdviceCandidate& a, const AdviceCandidate& b) {
-            return std::tie(b.expected, a.rank) < std::tie(a.expected, b.rank);
-        });
-    candidates.resize(candidateLimit);
-    AdviceQuestion question { key, {}, {}, queue->priority, job.objectiveAt() };
-    for (const AdviceCandidate& target : candidates) {
-        if (expectedTasks >= need * adviceSurplusFactor)
-            break;
-        expectedTasks += std::min<double>(target.expected, need);
-        question.targets.push_back(target.id);
-    }
-    if (question.targets.empty()) {
-        advice.notBefore = now + adviceIdlePause;
-        return;
-    }
-    question.callTime = queue->advisor->callTime(question.targets.size());
-    ++advice.inFlight;
-    m_adviceQuestions.add();
-    LogLine(LogLevel::Info, "advice_asked")
-        .with("step", stepText(key))
-        .with("targets", question.targets.size())
-        .with("need", need)
-        .with("allowed_share", share);
-    m_hooks.ask(question);
-}
-
-/** Records the targets that the advisor allows or denies. Denials are final for the step. */
-void CellOwner::onAdvice(const AdviceQuestion& question, const AdviceReply& reply, Time now)
-{
-    m_eventTime = now;
-    CellJob* job = m_active ? findOpenJob(question.step.job) : nullptr;
-    StepState* state = job ? job->step(question.step) : nullptr;
-    if (!state)
-        return;
-    StepAdvice& advice = state->advice;
-    advice.inFlight = std::max(0, advice.inFlight - 1);
-    LogLine(reply.answered ? LogLevel::Info : LogLevel::Warning, "advice_answered")
-        .with("step", stepText(question.step))
-        .with("answered", reply.answered)
-        .with("asked", question.targets.size())
-        .with("allowed", reply.allowed.size());
-    m_dispatchDue = true;
-    wakeBy(now);
-    const QueueConfig* queue = queueOf(*job);
-    if (!reply.answered || !queue || !queue->advisor) {
-        advice.notBefore = now + adviceRetry;
-        return;
-    }
-    std::set<TargetId> denied(question.targets.begin(), question.targets.end());
-    for (const auto& [id, ticket] : reply.allowed) {
-        denied.erase(id);
-        advice.allowed[id] = { ticket, now + queue->advisor->ticketValidity };
-    }
-    advice.denied.merge(denied);
-    constexpr double weight = 0.1; ///< Averages over about ten answers.
-    double& share = m_allowedShare.try_emplace(queue->id, initialAllowedShare).first->second;
-    share
-        += weight * (static_cast<double>(reply.allowed.size()) / static_cast<double>(question.targets.size()) - share);
-}
-
 } // namespace sp
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -158,8 +158,10 @@
         target->refusedUntil = now + unreachablePause;
         break;
     case OrderResult::BadTicket:
-        if (StepState* step = job ? job->step(key.stepKey()) : nullptr)
-            step->advice.allowed.erase(id);
+        if (StepState* step = job ? job->step(key.stepKey()) : nullptr) {
+            if (const auto ticket = step->advice.allowed.find(id); ticket != step->advice.allowed.end())
+                ticket->second.validUntil = {};
+        }
         break;
     case OrderResult::Rejected:
         if (TaskState* task = job ? job->task(key) : nullptr)
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -44,6 +44,7 @@
     if (!target) {
         target = std::make_unique<CellTarget>();
         target->entry.id = id;
+        target->serial = ++m_lastTargetSerial;
         // Runs that a former owner started there may be active until their leases have expired by the target's clock.
         target->lapsesBy = m_ownedSince + m_bounds.sessionTtl
             + std::chrono::milliseconds(
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -47,6 +47,7 @@
 
 /** One target in the memory of the owner. */
 struct CellTarget {
+    std::uint32_t serial = 0; ///< Unique among all targets that the owner has known.
     TargetEntry entry;
     bool listed = false; ///< Contained in the latest list of targets.
     Time leavesAt {}; ///< Earliest time at which a draining target may leave; unset if it is not draining.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -36,9 +36,10 @@
     , m_recordLog(m_settings.session.ownPrefix + "owner", CellKeys::sequenceKeys(), recordLogHooks())
     , m_owner(m_settings.bounds, metrics, ownerHooks())
     , m_session(m_settings.session, sessionHooks())
-    , m_broker([this](const HostId& host, const AdviceQuestion& question, std::uint64_t ticket) {
-        sendAdvice(host, question, ticket);
-    })
+    , m_broker({ [this](const HostId& host, const AdviceQuestion& question, std::uint64_t callId) {
+                    sendAdvice(host, question, callId);
+                },
+          [this](AdviceQuestion& question, Time now) { return m_owner.refreshQuestion(question, now); } })
     , m_router(routerHooks())
     , m_relay(m_hooks.callTarget, m_settings.instance)
     , m_forwarded(metrics.counter("sp_entry_forwarded_total", "Requests passed to the owner of the cell."))
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -15,6 +15,8 @@
     constexpr double failedTargetWeight = 8; ///< Makes a target on which the task has failed the last choice.
     /** A target that takes twice the usual run time costs as much as a fully reserved one. */
     constexpr double slownessWeight = 1;
+    /** Exceeds the weight of load, so that targets with all accelerators free are left for tasks that need them all. */
+    constexpr double freeAcceleratorWeight = 2;
     constexpr double interferenceWeight = 0.5; ///< Filling tasks beside serving tasks have to be slowed down later.
 
     double fraction(std::int64_t part, std::int64_t whole)
@@ -69,6 +71,8 @@
     const StepSpec& step = *requirements.step;
     const Resources left = option.room - step.reserved();
     double cost = 1 - fraction(left.coresMilli, target.entry.capacity.coresMilli);
+    if (step.demand.accelerators > 0)
+        cost += freeAcceleratorWeight * fraction(left.accelerators, target.entry.capacity.accelerators);
     cost += slownessWeight * std::max(0.0, target.slowness - 1);
     if (!step.nearRack.empty() && target.entry.rack != step.nearRack)
         cost += remoteRackWeight;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "advice_broker.h"
 #include "cell_owner.h"
 #include "cell_world_type.h"
 #include "record_log.h"
@@ -38,8 +39,11 @@
     std::vector<std::string> violations; ///< Violated guarantees, as texts; empty as long as the owner works correctly.
     /** Last answer to each submission; for a cancellation, the id is prefixed with `cancel-`. */
     std::map<JobId, JobAnswer::Kind> answers;
-    std::function<bool(const TargetId&)> advisorAllows = [](const TargetId&) { return true; };
+    std::function<bool(const TargetId&, const StepKey&)> advisorAllows
+        = [](const TargetId&, const StepKey&) { return true; };
     std::vector<AdviceQuestion> questions; ///< Questions sent to the advisor.
+    /** Hosts that send the questions, each one call at a time; 0 if every question is answered after 20 ms. */
+    int advisorHosts = 0;
     /** Pace orders that were sent: the task and its speed limit in percent. */
     std::vector<std::pair<CellTaskKey, int>> paceOrders;
     /** Duration of a run of a task; 0 for a task that runs until it is cancelled. */
@@ -104,6 +108,7 @@
         hooks.decided = [this](std::size_t lane, BatchOutcome outcome) { owner->batchDecided(lane, outcome, now); };
         hooks.ownershipLost = [this](const std::string&) { ++superseded; };
         log = std::make_unique<RecordLog>("own/owner", CellKeys::sequenceKeys(), std::move(hooks));
+        startBroker();
         owner = std::make_unique<CellOwner>(bounds, metrics, ownerHooks());
         put("own/owner", "x");
         for (const std::string& key : CellKeys::sequenceKeys())
@@ -189,6 +194,8 @@
                 owner->setStoreStalled(log->stalled(storeHeardAt, now));
                 owner->setStoreDelay(log->delay());
                 owner->tick(now);
+                if (broker)
+                    broker->tick(now);
                 log->tick(now);
             }
             now += tickInterval;
@@ -250,6 +257,7 @@
     }
 
     std::unique_ptr<CellOwner> owner;
+    std::unique_ptr<AdviceBroker> broker; ///< Set if advisorHosts is not 0.
     std::unique_ptr<RecordLog> log;
     Metrics metrics;
     int ownerGeneration = 0;
@@ -413,6 +421,40 @@
             violations.push_back("wrong payload for " + taskText(order.task));
     }
 
+    AdviceReply adviceFor(const AdviceQuestion& question) const
+    {
+        AdviceReply reply;
+        reply.answered = true;
+        for (const TargetId& id : question.targets) {
+            if (advisorAllows(id, question.step))
+                reply.allowed.emplace_back(id, "ticket");
+        }
+        return reply;
+    }
+
+    void startBroker()
+    {
+        broker.reset();
+        if (advisorHosts == 0)
+            return;
+        AdviceBrokerHooks hooks;
+        hooks.refresh = [this](AdviceQuestion& question, Time at) { return owner->refreshQuestion(question, at); };
+        hooks.send = [this](const HostId& host, const AdviceQuestion& question, std::uint64_t callId) {
+            questions.push_back(question);
+            Time& idleAt = m_advisorIdleAt[host];
+            idleAt = std::max(idleAt, now) + question.callTime;
+            scheduleForOwner(idleAt - now, [this, question, callId] {
+                owner->onAdvice(question, adviceFor(question), now);
+                broker->finished(callId, true, now);
+            });
+        };
+        broker = std::make_unique<AdviceBroker>(std::move(hooks));
+        std::vector<HostId> hosts;
+        for (int i = 0; i < advisorHosts; ++i)
+            hosts.emplace_back("h" + std::to_string(i));
+        broker->setHosts(hosts);
+    }
+
     CellOwnerHooks ownerHooks()
     {
         CellOwnerHooks hooks;
@@ -479,16 +521,15 @@
               };
         hooks.look = [this](const CellTarget& target, const LookOrder& order) { look(target.id(), order); };
         hooks.ask = [this](const AdviceQuestion& question) {
-            questions.push_back(question);
-            scheduleForOwner(20ms, [this, question] {
-                AdviceReply reply;
-                reply.answered = true;
-                for (const TargetId& id : question.targets) {
-                    if (advisorAllows(id))
-                        reply.allowed.emplace_back(id, "ticket");
-                }
-                owner->onAdvice(question, reply, now);
-            });
+            if (broker) {
+                broker->ask(question, now);
+                return;
+            }
+            AdviceQuestion sent = question;
+            if (!owner->refreshQuestion(sent, now))
+                return;
+            questions.push_back(sent);
+            scheduleForOwner(20ms, [this, sent] { owner->onAdvice(sent, adviceFor(sent), now); });
         };
         hooks.flush = [this](Time deadline) { log->requestFlush(deadline); };
         hooks.superseded = [this](const std::string&) { ++superseded; };
@@ -578,6 +619,7 @@
 
 private:
     std::multimap<Time, std::function<void()>> m_events;
+    std::map<HostId, Time> m_advisorIdleAt; ///< Time at which the advisor will have answered all calls of a host.
     std::set<CellTaskKey> m_acknowledgedTasks;
     std::uint64_t m_serial = 0;
     int m_callCount = 0;
--- a/tests/test_cell_faults.cpp
+++ b/tests/test_cell_faults.cpp
@@ -26,7 +26,7 @@
     {
         config.queues[0].maxAttempts = 3;
         config.queues[0].advisor = AdvisorTraits { 20ms, 1ms, 2000ms };
-        advisorAllows = [](const TargetId& id) { return std::hash<std::string>()(id.value) % 4 != 0; };
+        advisorAllows = [](const TargetId& id, const StepKey&) { return std::hash<std::string>()(id.value) % 4 != 0; };
         lengthOf = [this](const CellTaskKey& key) {
             return lasting.contains(key.job.value)
                 ? Duration(0)
--- a/tests/test_cell_load.cpp
+++ b/tests/test_cell_load.cpp
@@ -14,12 +14,18 @@
     std::map<std::string, Duration> completedAfter; ///< Time from submission to completion.
 
     void submitTo(const std::string& id, const QueueId& queue, std::vector<StepSpec> steps)
+    {
+        submitToService(id, queue, ServiceId("s"), std::move(steps));
+    }
+
+    void submitToService(
+        const std::string& id, const QueueId& queue, const ServiceId& service, std::vector<StepSpec> steps)
     {
         submittedAt[id] = now;
         CellJobSpec spec;
         spec.id = JobId(id);
         spec.queue = queue;
-        spec.service = ServiceId("s");
+        spec.service = service;
         spec.payload = "payload";
         spec.steps = std::move(steps);
         owner->submit(std::move(spec), now, [this, id](JobAnswer&& answer) {
@@ -158,7 +164,7 @@
 {
     addTargets(100, { 32000, 64000, 0 });
     config.queues[0].advisor = AdvisorTraits { 20ms, 300us, 2000ms };
-    advisorAllows = [](const TargetId& id) { return std::hash<std::string>()(id.value) % 10 < 7; };
+    advisorAllows = [](const TargetId& id, const StepKey&) { return std::hash<std::string>()(id.value) % 10 < 7; };
     takeOver();
     run(200ms);
     for (int i = 0; i < 200; ++i) { // 50 jobs/s for 4 s; the tasks of each use 45 cores.
@@ -189,3 +195,102 @@
     CHECK(shareWithin("j", 950ms) >= 0.9);
     CHECK(violations == std::vector<std::string> {});
 }
+
+namespace {
+
+/** Answers of an advisor that allows a fixed share of all pairs of step and target, always the same ones. */
+bool allowsShare(const TargetId& target, const StepKey& step, unsigned percent)
+{
+    return std::hash<std::string>()(target.value + '/' + stepText(step)) % 100 < percent;
+}
+
+/** A cell whose advisor is busy: urgent steps need slow calls, of which few targets are allowed. */
+struct BusyAdvisorTest : LoadTest {
+    BusyAdvisorTest()
+    {
+        QueueConfig urgent = config.queues[0];
+        urgent.id = QueueId("urgent");
+        urgent.service = ServiceId("large");
+        urgent.priority = 1;
+        urgent.advisor = AdvisorTraits { 530ms, 7600us, 2000ms };
+        QueueConfig plan = config.queues[0];
+        plan.id = QueueId("plan");
+        plan.priority = 2;
+        plan.advisor = AdvisorTraits { 150ms, 2100us, 2000ms };
+        config.queues = { urgent, plan };
+        config.services = { { ServiceId("s"), false, false }, { ServiceId("large"), false, false } };
+        addLargeTargets(12);
+        addTargets(36);
+        advisorAllows = [](const TargetId& id, const StepKey& step) {
+            return allowsShare(id, step, step.job.value.starts_with("u") ? 30 : 45);
+        };
+        lengthOf = [](const CellTaskKey& key) { return Duration(key.job.value.starts_with("u") ? 4s : 500ms); };
+        advisorHosts = 7;
+        takeOver();
+        run(200ms);
+    }
+
+    void addLargeTargets(int count)
+    {
+        addTargets(count, { 128000, 256000, 8 });
+        for (auto& [id, target] : targets) {
+            if (target.entry.capacity.accelerators > 0)
+                target.entry.service = ServiceId("large");
+        }
+    }
+
+    /** Submits a job of two tasks that need half of the accelerators of a large target each. */
+    void submitUrgent(int number)
+    {
+        StepSpec spec = step(2, 60000);
+        spec.demand.accelerators = 4;
+        spec.estimate = 4s;
+        submitToService("u" + std::to_string(number), QueueId("urgent"), ServiceId("large"), { spec });
+    }
+};
+
+} // namespace
+
+// A queue of lower priority got no call to the advisor for half a minute while half of its service was idle.
+TEST_CASE_FIXTURE(BusyAdvisorTest, "steps of a low priority get advice while urgent steps wait for room")
+{
+    for (int i = 0; i < 60; ++i) { // Three urgent jobs a second, more than there is room for.
+        submitUrgent(i);
+        if (i % 3 == 0)
+            submitTo("p" + std::to_string(i), QueueId("plan"), { step(6) });
+        runAndRecord(333ms);
+    }
+    runAndRecord(3s);
+    // 150 ms of advice, twice if few targets are allowed, up to a second in the queue, and 500 ms of work.
+    CHECK(shareWithin("p", 3s) >= 0.95);
+    CHECK(violations == std::vector<std::string> {});
+}
+
+// Each step that waited for room asked again for every target that became free, and small tasks took the last free
+// accelerator of most targets.
+TEST_CASE_FIXTURE(BusyAdvisorTest, "gangs that need whole targets start in time beside tasks that need a part of one")
+{
+    addLargeTargets(28);
+    config.queues.push_back(config.queues[0]);
+    config.queues.back().id = QueueId("small");
+    config.queues.back().priority = 2;
+    owner->setConfig(config);
+    run(1s);
+    for (int i = 0; i < 60; ++i) { // Gangs use half of all accelerators, small tasks a third.
+        StepSpec gang = step(4, 60000);
+        gang.demand.accelerators = 8;
+        gang.gang = true;
+        gang.estimate = 4s;
+        submitToService("ug" + std::to_string(i), QueueId("urgent"), ServiceId("large"), { gang });
+        StepSpec small = step(20, 10000);
+        small.demand.accelerators = 1;
+        submitToService("us" + std::to_string(i), QueueId("small"), ServiceId("large"), { small });
+        runAndRecord(1s);
+    }
+    runAndRecord(10s);
+    // The aim of a gang: one and a half times its run time and a call about thirty targets, and 250 ms.
+    CHECK(shareWithin("ug", 7400ms) >= 0.9);
+    // One call to learn the allowed targets, a second one for tickets that are still valid.
+    CHECK(questions.size() <= 120 * 2);
+    CHECK(violations == std::vector<std::string> {});
+}
--- a/tests/test_cell_policies.cpp
+++ b/tests/test_cell_policies.cpp
@@ -1,6 +1,7 @@
 #include "doctest_main.h"
 
 #include "advice_broker.h"
+#include "advice_targets.h"
 #include "placement.h"
 #include "tail_guard.h"
 
@@ -149,14 +150,15 @@
 {
     std::vector<std::pair<HostId, int>> sent;
     std::vector<std::uint64_t> tickets;
-    AdviceBroker broker([&](const HostId& host, const AdviceQuestion& question, std::uint64_t ticket) {
-        sent.emplace_back(host, question.priority);
-        tickets.push_back(ticket);
-    });
+    AdviceBroker broker({ [&](const HostId& host, const AdviceQuestion& question, std::uint64_t ticket) {
+                             sent.emplace_back(host, question.priority);
+                             tickets.push_back(ticket);
+                         },
+        [](AdviceQuestion&, Time) { return true; } });
     broker.setHosts({ HostId("a"), HostId("b"), HostId("c") });
     const Time now { 1h };
-    AdviceQuestion slow { {}, { TargetId("t") }, 500ms, 2, now };
-    AdviceQuestion quick { {}, { TargetId("t") }, 20ms, 0, now };
+    AdviceQuestion slow { {}, { TargetId("t") }, 500ms, 2, now, now };
+    AdviceQuestion quick { {}, { TargetId("t") }, 20ms, 0, now, now };
     for (int i = 0; i < 4; ++i)
         broker.ask(slow, now);
     CHECK(sent.size() == 2); // One host is reserved for short calls.
@@ -174,3 +176,103 @@
     broker.tick(now + 3s);
     CHECK(sent.size() == 5);
 }
+
+TEST_CASE("a question is sent in its turn although more urgent ones keep coming, and a needless one is dropped")
+{
+    std::vector<int> sent;
+    std::vector<std::uint64_t> callIds;
+    int dropPriority = -1;
+    AdviceBroker broker({ [&](const HostId&, const AdviceQuestion& question, std::uint64_t callId) {
+                             sent.push_back(question.priority);
+                             callIds.push_back(callId);
+                         },
+        [&](AdviceQuestion& question, Time) { return question.priority != dropPriority; } });
+    broker.setHosts({ HostId("a"), HostId("b") });
+    Time now { 1h };
+    const AdviceQuestion urgent { {}, { TargetId("t") }, 500ms, 1, now, now };
+    AdviceQuestion plan = urgent;
+    plan.priority = 2;
+    broker.ask(urgent, now);
+    broker.ask(plan, now);
+    for (int i = 0; i < 4; ++i) { // An urgent question always waits when the host becomes free.
+        broker.ask(urgent, now);
+        now += 500ms;
+        broker.finished(callIds.back(), true, now);
+    }
+    CHECK(sent == std::vector<int> { 1, 1, 1, 2, 1 });
+    dropPriority = 1;
+    broker.ask(plan, now);
+    broker.finished(callIds.back(), true, now);
+    CHECK(sent.back() == 2);
+    CHECK(broker.waiting() == 0);
+}
+
+TEST_CASE("short advice requests are sent while a long one waits, and leave a host free for it")
+{
+    std::vector<std::pair<HostId, Duration>> sent;
+    std::vector<std::uint64_t> callIds;
+    AdviceBroker broker({ [&](const HostId& host, const AdviceQuestion& question, std::uint64_t callId) {
+                             sent.emplace_back(host, question.callTime);
+                             callIds.push_back(callId);
+                         },
+        [](AdviceQuestion&, Time) { return true; } });
+    broker.setHosts({ HostId("a"), HostId("b") });
+    const Time now { 1h };
+    const AdviceQuestion quick { {}, { TargetId("t") }, 20ms, 0, now, now };
+    const AdviceQuestion slow { {}, { TargetId("t") }, 500ms, 2, now, now };
+    for (int i = 0; i < 4; ++i)
+        broker.ask(quick, now);
+    CHECK(sent.size() == 4);
+    broker.ask(slow, now);
+    broker.ask(quick, now);
+    for (std::size_t i = 0; i < 4; ++i)
+        broker.finished(callIds[i], true, now);
+    CHECK(std::count_if(sent.begin(), sent.end(), [](const auto& call) { return call.second == 500ms; }) == 1);
+}
+
+TEST_CASE("a question names targets with room first, and full ones only as long as too few allowed ones are known")
+{
+    const auto candidate = [](std::uint32_t index, std::uint32_t fits, AdviceKnowledge knowledge) {
+        return AdviceCandidate { index, fits, knowledge, index };
+    };
+    using enum AdviceKnowledge;
+    // Four tasks; half of the targets are allowed, so that 14 of the single places are expected to suffice.
+    std::vector<AdviceCandidate> idle;
+    for (std::uint32_t i = 0; i < 40; ++i)
+        idle.push_back(candidate(i, 1, Unknown));
+    CHECK(chooseAdviceTargets(idle, { 4, 0.5, 30, false }).size() == 14);
+    std::vector<AdviceCandidate> busy { candidate(0, 0, Unknown), candidate(1, 1, Allowed), candidate(2, 0, Allowed),
+        candidate(3, 1, Unknown), candidate(4, 1, Valid) };
+    CHECK(chooseAdviceTargets(busy, { 4, 0.5, 30, false }) == std::vector<std::uint32_t> { 1, 3, 0 });
+    CHECK(chooseAdviceTargets(busy, { 2, 0.5, 30, false }) == std::vector<std::uint32_t> { 1, 3 });
+    CHECK(chooseAdviceTargets({ candidate(0, 0, Allowed) }, { 1, 0.5, 30, false }).empty());
+}
+
+TEST_CASE("a gang renews tickets only once there is room for all its tasks")
+{
+    const auto candidate = [](std::uint32_t index, std::uint32_t fits, AdviceKnowledge knowledge) {
+        return AdviceCandidate { index, fits, knowledge, index };
+    };
+    using enum AdviceKnowledge;
+    std::vector<AdviceCandidate> known { candidate(0, 1, Allowed), candidate(1, 0, Allowed), candidate(2, 1, Valid) };
+    CHECK(chooseAdviceTargets(known, { 3, 0.5, 30, true }).empty());
+    CHECK(chooseAdviceTargets(known, { 2, 0.5, 30, true }) == std::vector<std::uint32_t> { 0 });
+    known.push_back(candidate(3, 0, Unknown));
+    CHECK(chooseAdviceTargets(known, { 3, 0.5, 30, true }) == std::vector<std::uint32_t> { 3 });
+}
+
+TEST_CASE("tasks that need accelerators fill targets that are in use before idle ones")
+{
+    CellTarget idle = makeTarget("idle", 128000);
+    CellTarget used = makeTarget("used", 128000);
+    idle.entry.capacity.accelerators = 8;
+    used.entry.capacity.accelerators = 8;
+    Occupant occupant;
+    occupant.taken = { 60000, 0, 4 };
+    used.occupy({ JobId("x"), 0, 0, 0 }, occupant);
+    auto options = makeOptions({ &idle, &used });
+    StepSpec step = makeStep(1, 11000);
+    CHECK(chooseOption(options, { &step, nullptr, {} })->target == &idle);
+    step.demand.accelerators = 1;
+    CHECK(chooseOption(options, { &step, nullptr, {} })->target == &used);
+}
