Fix: orders after a suspension, weak owners, busy relays, reads without a pause

The permission is now renewed at each event of the owner, an order carries the end of the permission, and the HTTP client checks it just before it sends. The owner pings a sample of twelve members instead of all.

--- a/src/cell_session.cpp
+++ b/src/cell_session.cpp
@@ -29,6 +29,13 @@
     constexpr std::chrono::milliseconds claimStagger {
         40
     }; ///< Delay between claims of hosts of consecutive rank; several round trips.
+    constexpr std::chrono::milliseconds memberReturnTime { 1000 }; ///< Hosts register again soon after an outage.
+    constexpr std::uint32_t strongerHostFactor = 2; ///< A smaller gain is not worth the pause of a take-over.
+    constexpr std::int64_t maxReturningRank = 10; ///< Limits the delay if the stronger hosts do not return.
+    constexpr std::chrono::milliseconds settleTime {
+        20
+    }; ///< For a host of a full core; hosts start at about one time.
+    constexpr std::chrono::milliseconds maxSettleTime { 300 };
     constexpr std::chrono::milliseconds storeLostAfter { 1200 }; ///< Three unanswered lease renewals.
 
 } // namespace
@@ -83,15 +90,16 @@
     const bool mayClaim = m_synced && claimable && !owning() && m_eligible && m_memberRegistered && leaseValid(now)
         && now >= m_claimsSuspendedUntil;
     if (!mayClaim) {
-        m_claimAt.reset();
-    } else if (!m_claimAt) {
-        m_claimAt = now + claimStagger * claimRank();
-        m_wakeAt = std::min(*m_wakeAt, *m_claimAt);
-    } else if (now >= *m_claimAt && !m_claimInFlight) {
-        claim(now);
-    } else {
-        m_wakeAt = std::min(*m_wakeAt, *m_claimAt);
+        m_claimableSince.reset();
+        return;
     }
+    if (!m_claimableSince)
+        m_claimableSince = now;
+    const Time due = claimDue(now);
+    if (now >= due && now > *m_claimableSince && !m_claimInFlight)
+        claim(now);
+    else
+        m_wakeAt = std::min(*m_wakeAt, due);
 }
 
 void CellSession::beginSync()
@@ -198,6 +206,7 @@
             return;
         }
         m_members[host] = { host, record.address(), record.strength_milli() };
+        m_formerMembers.erase(host);
         LogLine(LogLevel::Info, "member_seen").with("host", host).with("address", record.address());
     }
 }
@@ -214,7 +223,8 @@
         m_members.erase(m_config.self);
     } else if (key.starts_with(memberPrefix())) {
         const HostId host(key.substr(memberPrefix().size()));
-        m_members.erase(host);
+        if (const auto member = m_members.extract(host); !member.empty())
+            m_formerMembers[host] = { member.mapped(), now };
         LogLine(LogLevel::Warning, "member_gone").with("host", host);
     }
 }
@@ -324,9 +334,10 @@
 
 /**
  * Returns the number of hosts that claim the cell before this one. Claims are staggered by rank, strongest host first
- * and then by hash, so that usually only one host sends a claim.
+ * and then by hash, so that usually only one host sends a claim. Stronger hosts that have just disappeared count too:
+ * after an outage of the store all leases have expired, and the hosts return one by one.
  */
-std::int64_t CellSession::claimRank() const
+std::int64_t CellSession::claimRank(Time now) const
 {
     const auto rankOf = [&](const CellMember& member) {
         return std::pair(-static_cast<std::int64_t>(member.strengthMilli),
@@ -334,16 +345,35 @@
     };
     const auto own = rankOf({ m_config.self, m_config.address, m_config.strengthMilli });
     const auto isFormerOwner = [&](const HostId& host) { return m_owner && m_owner->host == host; };
-    return std::count_if(m_members.begin(), m_members.end(), [&](const auto& entry) {
+    const auto present = std::count_if(m_members.begin(), m_members.end(), [&](const auto& entry) {
         return entry.first != m_config.self && !isFormerOwner(entry.first) && rankOf(entry.second) < own;
     });
+    const auto returning = std::count_if(m_formerMembers.begin(), m_formerMembers.end(), [&](const auto& entry) {
+        const auto& [member, goneAt] = entry.second;
+        return member.strengthMilli > m_config.strengthMilli && now - goneAt < memberReturnTime;
+    });
+    return present + std::min<std::int64_t>(returning, maxReturningRank);
+}
+
+/** Returns the time at which a claim is due, given the members known at present. */
+Time CellSession::claimDue(Time now) const
+{
+    return std::max(*m_claimableSince + claimStagger * claimRank(now), m_nextClaimAt);
+}
+
+/** Returns true if a member has at least strongerHostFactor times the processor capacity of this host. */
+bool CellSession::hasStrongerMember() const
+{
+    return std::any_of(m_members.begin(), m_members.end(),
+        [&](const auto& entry) { return entry.second.strengthMilli >= m_config.strengthMilli * strongerHostFactor; });
 }
 
 /** Returns true if this host would be among the first two to claim the cell. */
 bool CellSession::isStandby() const
 {
     constexpr std::int64_t standbyHosts = 2; ///< A second one, since the first may fail together with the owner.
-    return m_synced && m_eligible && m_memberRegistered && m_owner && !owning() && claimRank() < standbyHosts;
+    return m_synced && m_eligible && m_memberRegistered && m_owner && !owning()
+        && claimRank(m_hooks.clock()) < standbyHosts;
 }
 
 void CellSession::claim(Time now)
@@ -360,13 +390,14 @@
     for (const std::string& key : m_config.sequenceKeys)
         txn.writes.push_back({ StoreWrite::Kind::Put, key, "claimed", {} });
     m_claimInFlight = true;
-    m_claimAt = now + callTimeout;
+    m_nextClaimAt = now + callTimeout;
     LogLine(LogLevel::Info, "claim_sent").with("revision", m_revision);
     m_hooks.call(StoreRequest(std::move(txn)), callTimeout, [this, lease = m_lease](StoreReply&& reply) {
         const Time at = m_hooks.clock();
         noteStoreReply(reply, at);
         m_claimInFlight = false;
-        m_claimAt.reset();
+        m_claimableSince.reset();
+        m_nextClaimAt = {};
         if (reply.status == StoreStatus::Ok && lease == m_lease && m_eligible) {
             m_owner = CellOwnerInfo { m_config.self, m_config.address, reply.revision };
             m_token = reply.revision;
--- a/src/cell_session.h
+++ b/src/cell_session.h
@@ -73,7 +73,10 @@
     bool synced() const { return m_synced; }
     bool owning() const { return m_token.value != 0; }
     bool leaseValid(Time now) const { return m_lease.value != 0 && now < m_leaseValidUntil; }
+    /** Returns the time at which the lease ends unless it is renewed before. */
+    Time leaseValidUntil() const { return m_lease.value != 0 ? m_leaseValidUntil : Time {}; }
     bool reachesStore(Time now) const;
+    bool hasStrongerMember() const;
     Time lastStoreReplyAt() const { return m_lastStoreReplyAt; }
     const std::map<HostId, CellMember>& members() const { return m_members; }
     const std::optional<CellOwnerInfo>& owner() const { return m_owner; }
@@ -94,7 +97,8 @@
     void endOwnership(const std::string& reason);
     void deleteOwnerKey(Time now);
     void noteStoreReply(const StoreReply& reply, Time now);
-    std::int64_t claimRank() const;
+    std::int64_t claimRank(Time now) const;
+    Time claimDue(Time now) const;
     std::chrono::milliseconds renewalInterval() const;
     std::string ownerKey() const { return m_config.ownPrefix + "owner"; }
     std::string memberPrefix() const { return m_config.ownPrefix + "node/"; }
@@ -128,6 +132,8 @@
     bool m_memberRegistered = false;
     bool m_memberCallInFlight = false;
     std::map<HostId, CellMember> m_members;
+    /** Former members with the time at which they disappeared. */
+    std::map<HostId, std::pair<CellMember, Time>> m_formerMembers;
 
     // Ownership.
     std::optional<CellOwnerInfo> m_owner;
@@ -137,7 +143,8 @@
     Time m_firstRefusalAt {}; ///< Time of the first refusal.
     Revision m_failedOwner; ///< Claim of an owner that has failed although its lease is still valid.
     Time m_failureReportsIgnoredUntil {}; ///< Reports that the owner has failed are ignored before this time.
-    std::optional<Time> m_claimAt;
+    std::optional<Time> m_claimableSince; ///< Time since which this host may claim the cell.
+    Time m_nextClaimAt {}; ///< Back-off after a claim: no other one is sent before this time.
     Revision m_resignedClaim; ///< Resigned claim whose owner key may still exist; 0 if there is none.
     bool m_ownerKeyDeleteInFlight = false;
     Time m_ownerKeyDeleteRetryAt {};
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -256,10 +256,12 @@
     std::optional<std::chrono::milliseconds> clock;
 };
 
-/** Id and address of a target. */
+/** Id and address of a target, and how long orders may be sent to it. */
 struct TargetRef {
     TargetId id;
     std::string address; ///< `ip:port`.
+    Time sendBefore {}; ///< End of the owner's permission: an order is not sent at this time or later; unset for no
+                        ///< limit.
 };
 
 /** The report is empty unless the order was a LookOrder. */
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -52,28 +52,28 @@
 {
     CellOwnerHooks hooks;
     hooks.start = [this](const CellTarget& target, const StartOrder& order) {
-        m_router.send(target.ref(), order,
+        m_router.send(permittedRef(target), order,
             [this, id = target.id(), key = order.task, run = order.run](const OrderAnswer& answer, const RunReport&) {
-                m_owner.onStarted(id, key, run, answer, m_hooks.clock());
+                m_owner.onStarted(id, key, run, answer, beginOwnerEvent());
             });
     };
     hooks.stop = [this](const CellTarget& target, const CellTaskKey& key, std::uint32_t run, FencingToken token) {
-        m_router.send(target.ref(), StopOrder { key, run, token },
+        m_router.send(permittedRef(target), StopOrder { key, run, token },
             [this, id = target.id(), key, run](const OrderAnswer& answer, const RunReport&) {
-                m_owner.onStopped(id, key, run, answer, m_hooks.clock());
+                m_owner.onStopped(id, key, run, answer, beginOwnerEvent());
             });
     };
     hooks.pace
         = [this](const CellTarget& target, const CellTaskKey& key, std::uint32_t run, int percent, FencingToken token) {
-              m_router.send(target.ref(), PaceOrder { key, run, percent, token },
+              m_router.send(permittedRef(target), PaceOrder { key, run, percent, token },
                   [this, id = target.id(), key, run, percent](const OrderAnswer& answer, const RunReport&) {
-                      m_owner.onPaced(id, key, run, percent, answer, m_hooks.clock());
+                      m_owner.onPaced(id, key, run, percent, answer, beginOwnerEvent());
                   });
           };
     hooks.look = [this](const CellTarget& target, const LookOrder& order) {
-        m_router.send(
-            target.ref(), order, [this, id = target.id(), order](const OrderAnswer& answer, const RunReport& report) {
-                m_owner.onReport(id, order, answer, report, m_hooks.clock());
+        m_router.send(permittedRef(target), order,
+            [this, id = target.id(), order](const OrderAnswer& answer, const RunReport& report) {
+                m_owner.onReport(id, order, answer, report, beginOwnerEvent());
             });
     };
     hooks.ask = [this](const AdviceQuestion& question) { m_broker.ask(question, m_hooks.clock()); };
@@ -124,11 +124,30 @@
     };
     hooks.collect = [this](std::size_t lane, std::size_t limit) { return m_owner.collect(lane, limit); };
     hooks.decided
-        = [this](std::size_t lane, BatchOutcome outcome) { m_owner.batchDecided(lane, outcome, m_hooks.clock()); };
+        = [this](std::size_t lane, BatchOutcome outcome) { m_owner.batchDecided(lane, outcome, beginOwnerEvent()); };
     hooks.ownershipLost = [this](const std::string& reason) { m_session.resign(reason); };
     return hooks;
 }
 
+/**
+ * Returns the present time for an event that the owner is about to handle. Withdraws its permission to send orders if
+ * the lease has ended: the process may have been suspended since the last tick.
+ */
+Time EntryNode::beginOwnerEvent()
+{
+    const Time now = m_hooks.clock();
+    m_owner.setMayOrder(m_owner.active() && m_session.leaseValid(now));
+    return now;
+}
+
+/** Returns a target with the time until which this host may send orders to it. */
+TargetRef EntryNode::permittedRef(const CellTarget& target) const
+{
+    TargetRef ref = target.ref();
+    ref.sendBefore = m_session.leaseValidUntil();
+    return ref;
+}
+
 void EntryNode::operatorKeyChanged(const std::string& key, const std::optional<StoreKeyValue>& item)
 {
     if (key != m_settings.configKey || !item)
@@ -340,7 +359,7 @@
 void EntryNode::serveOwnerCall(
     const proto::OwnerCall& call, const std::function<void(const proto::OwnerAnswer&)>& reply)
 {
-    const Time now = m_hooks.clock();
+    const Time now = beginOwnerEvent();
     proto::OwnerAnswer answer;
     if (!m_owner.active() || !m_session.leaseValid(now)) {
         answer.set_status(proto::OwnerAnswer::NOT_OWNER);
@@ -480,10 +499,12 @@
     m_session.tick(now);
     if (m_session.owning()) {
         m_owner.setMayOrder(m_owner.active() && m_session.leaseValid(now));
+        retryReads(now);
         m_owner.setStoreStalled(m_recordLog.stalled(m_session.lastStoreReplyAt(), now));
         m_owner.setStoreDelay(m_recordLog.delay());
         listTargets(now);
         pingPeers(now);
+        yieldToStrongerHost(now);
         m_owner.tick(now);
         m_broker.tick(now);
         m_recordLog.tick(now);
@@ -506,6 +527,8 @@
     Time at = m_session.wakeAt().value_or(now);
     if (m_session.owning()) {
         at = std::min({ at, m_listInFlight ? at : m_nextListAt, m_nextPingAt });
+        for (const ReadRetry& retry : m_readRetries)
+            at = std::min(at, retry.at);
         if (m_owner.active())
             at = std::min(at, m_owner.wakeAt().value_or(at));
         if (const auto log = m_recordLog.wakeAt())
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -120,7 +120,11 @@
     void onCellLost(const std::string& reason);
     void readRecords(const std::string& prefix, const std::string& after, std::uint64_t epoch);
     void beginOwnershipIfLoaded(std::uint64_t epoch);
+    void retryReads(Time now);
     void listTargets(Time now);
+    Time beginOwnerEvent();
+    TargetRef permittedRef(const CellTarget& target) const;
+    void yieldToStrongerHost(Time now);
     void sendAdvice(const HostId& host, const AdviceQuestion& question, std::uint64_t ticket);
     void attemptRequest(const std::shared_ptr<PendingRequest>& pending);
     void answerCaller(const std::shared_ptr<PendingRequest>& pending, CallerResult&& result);
@@ -144,12 +148,19 @@
     AdviceBroker m_broker;
     OrderRouter m_router; ///< Sends the orders of this host while it owns the cell.
     OrderRelay m_relay; ///< Forwards orders for an owner on another host.
-    std::map<std::uint64_t, AdviceQuestion> m_questions;
 
     // State of a take-over of the cell.
     std::uint64_t m_ownershipEpoch = 0; ///< Changes when the cell is acquired or lost; older replies are discarded.
     CellRecords m_records;
     int m_openReads = 0; ///< Record ranges of the take-over that are not completely read.
+    /** A page of the records that could not be read and is read again later. */
+    struct ReadRetry {
+        Time at {};
+        std::string prefix;
+        std::string after;
+    };
+    std::vector<ReadRetry> m_readRetries;
+    int m_failedReads = 0; ///< Number of failed reads of the take-over since the last successful one.
     std::optional<std::vector<TargetEntry>> m_takeOverTargets;
     Time m_cellAcquiredAt {};
 
@@ -160,6 +171,7 @@
     Time m_listRegainedAt {};
     Time m_nextPingAt {};
     PeerPresence m_peers;
+    Time m_nextYieldAt {}; ///< The cell is not handed over to a stronger host before this time.
 
     OwnerWatch m_ownerWatch; ///< Monitors the owner while this host is a standby.
     Time m_overloadedSince {}; ///< Start of the present series of late event loop iterations.
--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -1,9 +1,11 @@
 #include "entry_node.h"
 
+#include "fnv_hash_func.h"
 #include "log_line.h"
 #include "proto/cell.pb.h"
 
 #include <algorithm>
+#include <set>
 
 namespace sp {
 
@@ -18,6 +20,14 @@
     constexpr std::chrono::milliseconds pingTimeout {
         600
     }; ///< Below the interval, so that each peer has at most one ping in flight.
+    /** A sample suffices to notice that this host is cut off, and costs the same in a cell of any size. */
+    constexpr std::size_t maxPingedPeers = 12;
+    constexpr std::chrono::milliseconds readRetryDelay { 100 }; ///< The store turns a host away for some seconds.
+    constexpr int maxFailedReads = 4; ///< Another host may be able to read the records.
+    constexpr std::chrono::seconds timeBeforeYield { 2 }; ///< Hosts that restart at one time are members again by then.
+    constexpr std::chrono::seconds yieldInterval {
+        30
+    }; ///< A stronger host that does not claim is not tried again soon.
     constexpr std::chrono::milliseconds claimSuspension {
         5000
     }; ///< Network partitions of a single host last some seconds.
@@ -50,6 +60,8 @@
     m_nextPingAt = m_cellAcquiredAt;
     m_records = {};
     m_takeOverTargets.reset();
+    m_readRetries.clear();
+    m_failedReads = 0;
     m_openReads = 2;
     LogLine(LogLevel::Info, "take_over_began").with("token", token);
     readRecords(CellKeys::jobs, {}, m_ownershipEpoch);
@@ -66,7 +78,7 @@
     m_owner.end(reason);
     m_router.begin({});
     m_broker.clear();
-    m_questions.clear();
+    m_readRetries.clear();
     LogLine(LogLevel::Warning, "ownership_lost").with("reason", reason);
 }
 
@@ -80,10 +92,18 @@
         if (epoch != m_ownershipEpoch)
             return;
         if (reply.status != StoreStatus::Ok) {
-            LogLine(LogLevel::Warning, "take_over_read_failed").with("prefix", prefix);
-            readRecords(prefix, after, epoch);
+            LogLine(LogLevel::Warning, "take_over_read_failed")
+                .with("prefix", prefix)
+                .with("failures", ++m_failedReads);
+            if (m_failedReads < maxFailedReads) {
+                m_readRetries.push_back({ m_hooks.clock() + readRetryDelay, prefix, after });
+                return;
+            }
+            m_session.suspendClaims(m_hooks.clock() + claimSuspension);
+            m_session.resign("the records can't be read");
             return;
         }
+        m_failedReads = 0;
         auto& list = prefix == CellKeys::jobs ? m_records.jobs : m_records.specs;
         std::move(reply.values.begin(), reply.values.end(), std::back_inserter(list));
         if (reply.more && !reply.values.empty()) {
@@ -95,6 +115,17 @@
     });
 }
 
+/** Repeats the failed reads of a take-over that are due. */
+void EntryNode::retryReads(Time now)
+{
+    for (ReadRetry& retry : std::exchange(m_readRetries, {})) {
+        if (retry.at <= now)
+            readRecords(retry.prefix, retry.after, m_ownershipEpoch);
+        else
+            m_readRetries.push_back(std::move(retry));
+    }
+}
+
 void EntryNode::beginOwnershipIfLoaded(std::uint64_t epoch)
 {
     if (epoch != m_ownershipEpoch || m_openReads > 0 || !m_takeOverTargets || !m_config || m_owner.active()
@@ -121,7 +152,7 @@
     m_hooks.listTargets([this, epoch = m_ownershipEpoch](std::optional<std::vector<TargetEntry>> entries) {
         if (epoch != m_ownershipEpoch)
             return;
-        const Time at = m_hooks.clock();
+        const Time at = beginOwnerEvent();
         m_listInFlight = false;
         if (!entries) {
             if (!m_listFailed)
@@ -151,7 +182,7 @@
     const auto done = [this, question, ticket, epoch = m_ownershipEpoch](const AdviceReply& reply) {
         if (epoch != m_ownershipEpoch)
             return;
-        const Time now = m_hooks.clock();
+        const Time now = beginOwnerEvent();
         m_owner.onAdvice(question, reply, now);
         m_broker.finished(ticket, reply.answered, now);
     };
@@ -180,17 +211,36 @@
         });
 }
 
-/** Pings all members, and resigns if none of them has answered recently. */
+/** Hands the cell over to a much stronger host, if there is one; after an outage any host may have claimed the cell. */
+void EntryNode::yieldToStrongerHost(Time now)
+{
+    if (!m_owner.active() || now - m_cellAcquiredAt < timeBeforeYield || now < m_nextYieldAt
+        || !m_session.hasStrongerMember())
+        return;
+    m_nextYieldAt = now + yieldInterval;
+    m_session.resign("a stronger host can own the cell");
+}
+
+/** Pings a sample of the members, and resigns if none of them has answered recently. */
 void EntryNode::pingPeers(Time now)
 {
     const auto& members = m_session.members();
     if (now >= m_nextPingAt) {
         m_nextPingAt = now + pingInterval;
         std::vector<HostId> hosts;
+        std::vector<std::pair<std::uint64_t, const CellMember*>> peers;
         for (const auto& [host, member] : members) {
             hosts.push_back(host);
-            if (host == m_settings.session.self)
-                continue;
+            if (host != m_settings.session.self)
+                peers.emplace_back(fnvHash(host.value), &member);
+        }
+        std::sort(peers.begin(), peers.end());
+        peers.resize(std::min(peers.size(), maxPingedPeers));
+        std::set<HostId> pinged;
+        for (const auto& [rank, peer] : peers) {
+            const CellMember& member = *peer;
+            const HostId& host = member.host;
+            pinged.insert(host);
             m_peers.pingSent(host, now);
             m_hooks.callPeer(member.address, pingPath, {}, pingTimeout, [this, id = host](HttpResult&& result) {
                 if (result.complete)
@@ -201,7 +251,7 @@
             hosts.push_back(m_settings.session.self);
         m_broker.setHosts(hosts);
         m_router.setHosts(m_settings.session.self, members, m_owner.targetCount());
-        m_peers.retainIf([&](const HostId& host) { return members.contains(host); });
+        m_peers.retainIf([&](const HostId& host) { return pinged.contains(host); });
     }
     if (m_peers.isolated(now)) {
         m_session.suspendClaims(now + claimSuspension);
@@ -240,6 +290,7 @@
 {
     if (late < maxLoopDelay)
         return;
+    LogLine(LogLevel::Warning, "loop_delayed").with("delay_ms", late.count()).with("owning", m_session.owning());
     if (now - m_lastLateIterationAt > maxOverloadTime)
         m_overloadedSince = now;
     m_lastLateIterationAt = now;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -89,6 +89,7 @@
     curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &HttpClient::onTimer);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxConnections);
+    curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, m_limits.maxHostConnections);
     curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
 }
 
@@ -306,15 +307,19 @@
     return 0;
 }
 
-/** libcurl calls this when a connection is there and just before it sends; a second time if it wants to repeat. */
+/**
+ * libcurl calls this when a connection is there and just before it sends; a second time if it wants to repeat. The
+ * process may have been suspended since the call was started, and libcurl's clock does not count that time.
+ */
 int HttpClient::onPrerequest(
     void* transfer, char* /*primaryIp*/, char* /*localIp*/, int /*primaryPort*/, int /*localPort*/)
 {
-    auto& result = static_cast<Transfer*>(transfer)->result;
-    if (result.sent)
+    auto& self = *static_cast<Transfer*>(transfer);
+    const Time now = BootClock::now();
+    if (self.result.sent || (self.request.sendBefore != Time {} && now >= self.request.sendBefore))
         return CURL_PREREQFUNC_ABORT;
-    result.sent = true;
-    result.sentAt = BootClock::now();
+    self.result.sent = true;
+    self.result.sentAt = now;
     return CURL_PREREQFUNC_OK;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -25,6 +25,7 @@
     Payload body; ///< For POST; null for an empty one.
     std::vector<std::string> headers; ///< `Name: value`.
     std::chrono::milliseconds timeout { 0 }; ///< For the whole call; 0 for none.
+    Time sendBefore {}; ///< A call that has not been sent by then ends unsent; unset for no limit.
     bool freshConnection = false; ///< Don't use an idle connection.
     std::function<bool(std::string_view)> onData; ///< Takes the body piece by piece; false ends the call.
 };
@@ -58,6 +59,7 @@
         std::chrono::seconds maxAge { 300 }; ///< A connection is not used again after this age.
         std::chrono::seconds maxIdle { 10 }; ///< Nor after being idle for this time.
         std::chrono::milliseconds connectTimeout { 1000 };
+        long maxHostConnections = 0; ///< Calls beyond it wait for a connection to their server; 0 for no limit.
         std::size_t maxBody = 8UL * 1024 * 1024; ///< A longer answer ends its call.
     };
 
--- a/tests/test_cell_session.cpp
+++ b/tests/test_cell_session.cpp
@@ -270,3 +270,27 @@
     CHECK(session.owning());
     CHECK_FALSE(session.isStandby());
 }
+
+// After an outage of the store all leases have expired, and a host with little processor time used to win the cell.
+TEST_CASE_FIXTURE(Fixture, "a host leaves the cell to stronger ones that have just disappeared, but not for long")
+{
+    const auto memberKey = [](const std::string& host, std::uint32_t strength) {
+        proto::NodeRecord record;
+        record.set_address("10.0.0.2:1");
+        record.set_strength_milli(strength);
+        return StoreKeyValue { "cell/node/" + host, record.SerializeAsString(), Revision(4) };
+    };
+    startUp({ ownerKey("h2", 4), memberKey("h2", 500), memberKey("h3", 500), memberKey("h4", 250) });
+    CHECK(session.hasStrongerMember());
+    StoreWatchReply removed;
+    removed.status = StoreStatus::Ok;
+    removed.changes.deletes = { "cell/owner", "cell/node/h2", "cell/node/h3", "cell/node/h4" };
+    removed.changes.revision = Revision(12);
+    watches.front()(std::move(removed));
+    CHECK_FALSE(session.hasStrongerMember());
+    advance(1ms);
+    advance(70ms);
+    CHECK_FALSE(takeCall<StoreTxn>()); // Two stronger hosts may return.
+    advance(10ms);
+    CHECK(takeCall<StoreTxn>());
+}
--- /dev/null
+++ b/tests/test_entry_node.cpp
@@ -0,0 +1,280 @@
+#include "doctest_main.h"
+
+#include "entry_node.h"
+#include "proto/cell.pb.h"
+
+#include <deque>
+
+using namespace sp;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** An entry host whose calls wait until the test answers them. */
+struct Fixture {
+    struct StoreCall {
+        StoreRequest request;
+        CellSessionHooks::Reply reply;
+    };
+    struct TargetOrderCall {
+        TargetRef target;
+        TargetOrder order;
+        TargetReply reply;
+    };
+    Time now { 1h };
+    std::deque<StoreCall> storeCalls;
+    std::deque<std::function<void(StoreWatchReply&&)>> watches;
+    std::deque<std::function<void(std::optional<std::vector<TargetEntry>>)>> lists;
+    std::deque<TargetOrderCall> orders;
+    std::uint64_t revision = 10;
+    Metrics metrics;
+    EntryNode node;
+
+    Fixture()
+        : node(config(), metrics, hooks())
+    {
+    }
+
+    static EntryNodeConfig config()
+    {
+        EntryNodeConfig config;
+        config.session = { HostId("h1"), "10.0.0.1:1", 250, "c", "config/", "cell/own/", CellKeys::sequenceKeys(), 1s };
+        config.configKey = "config/cell";
+        return config;
+    }
+
+    EntryNodeHooks hooks()
+    {
+        EntryNodeHooks hooks;
+        hooks.storeCall = [this](StoreRequest&& request, std::chrono::milliseconds, CellSessionHooks::Reply reply) {
+            storeCalls.push_back({ std::move(request), std::move(reply) });
+        };
+        hooks.storeWatch = [this](StoreWatch&&, std::function<void(StoreWatchReply &&)> reply) {
+            watches.push_back(std::move(reply));
+        };
+        hooks.decodeConfig = [](const std::string&) {
+            CellConfig cell;
+            cell.version = 1;
+            QueueConfig queue;
+            queue.id = QueueId("q");
+            queue.service = ServiceId("s");
+            cell.queues = { queue };
+            cell.services = { { ServiceId("s"), false, false } };
+            return std::optional(cell);
+        };
+        hooks.listTargets = [this](std::function<void(std::optional<std::vector<TargetEntry>>)> done) {
+            lists.push_back(std::move(done));
+        };
+        hooks.callTarget = [this](const TargetRef& target, const TargetOrder& order, TargetReply reply) {
+            orders.push_back({ target, order, std::move(reply) });
+        };
+        hooks.advise
+            = [](const AdviceQuestion&, std::chrono::milliseconds, const std::function<void(AdviceReply &&)>&) {};
+        hooks.callPeer = [](const std::string&, const std::string&, std::string&&, std::chrono::milliseconds,
+                             const std::function<void(HttpResult &&)>&) {};
+        hooks.clock = [this] { return now; };
+        hooks.calendar = [this] {
+            return CalendarTime(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()));
+        };
+        return hooks;
+    }
+
+    StoreReply ok(std::vector<StoreKeyValue> values = {})
+    {
+        StoreReply reply;
+        reply.status = StoreStatus::Ok;
+        reply.revision = Revision(++revision);
+        reply.lease = StoreLeaseId(7);
+        reply.values = std::move(values);
+        return reply;
+    }
+
+    /** Answers all waiting calls of a kind. @return Number of calls. */
+    template <typename T> std::size_t answerAll(const StoreReply& reply)
+    {
+        auto waiting = std::exchange(storeCalls, {});
+        std::size_t count = 0;
+        for (StoreCall& call : waiting) {
+            if (std::holds_alternative<T>(call.request)) {
+                ++count;
+                call.reply(StoreReply(reply));
+            } else {
+                storeCalls.push_back(std::move(call));
+            }
+        }
+        return count;
+    }
+
+    std::size_t waitingReads() const
+    {
+        return static_cast<std::size_t>(std::count_if(storeCalls.begin(), storeCalls.end(),
+            [](const StoreCall& call) { return std::holds_alternative<StoreRange>(call.request); }));
+    }
+
+    void advance(Duration time)
+    {
+        now += time;
+        node.tick(now);
+    }
+
+    /** Starts the host with these member keys and lets it win the cell; it has not read the records yet. */
+    void winCell(std::vector<StoreKeyValue> keys = {})
+    {
+        node.tick(now);
+        answerAll<StoreLeaseGrant>(ok());
+        keys.push_back({ "config/cell", "c", Revision(3) });
+        answerAll<StoreRange>(ok(std::move(keys)));
+        node.tick(now);
+        answerAll<StoreTxn>(ok()); // Registration as a member.
+        advance(1ms);
+        advance(100ms);
+        answerAll<StoreTxn>(ok()); // Claim.
+    }
+
+    static TargetEntry target()
+    {
+        TargetEntry entry;
+        entry.id = TargetId("t");
+        entry.bornAt = CalendarTime(1ms);
+        entry.address = "10.0.1.1:1";
+        entry.service = ServiceId("s");
+        entry.capacity = { 16000, 32000, 0 };
+        return entry;
+    }
+
+    void beginOwnership()
+    {
+        answerAll<StoreRange>(ok());
+        REQUIRE(!lists.empty());
+        lists.front()({ { target() } });
+        lists.pop_front();
+    }
+
+    void submit(const std::string& id)
+    {
+        CallerRequest request;
+        request.action = CallerAction::Submit;
+        request.queue = QueueId("q");
+        request.job = JobId(id);
+        request.receivedAt = now;
+        request.patience = 3s;
+        CellJobSpec spec;
+        spec.id = request.job;
+        spec.queue = request.queue;
+        StepSpec step;
+        step.tasks = 1;
+        step.demand = { 1000, 1000, 0 };
+        spec.steps = { step };
+        request.spec = spec;
+        node.handle(std::move(request), [](CallerResult&&) {});
+    }
+
+    template <typename T> std::size_t count() const
+    {
+        return static_cast<std::size_t>(std::count_if(orders.begin(), orders.end(),
+            [](const TargetOrderCall& call) { return std::holds_alternative<T>(call.order); }));
+    }
+
+    void reportFromTarget()
+    {
+        const auto it = std::find_if(orders.begin(), orders.end(),
+            [](const TargetOrderCall& call) { return std::holds_alternative<LookOrder>(call.order); });
+        REQUIRE(it != orders.end());
+        const TargetOrderCall call = std::move(*it);
+        orders.erase(it);
+        RunReport report;
+        report.clock = 1000ms;
+        report.bornAt = CalendarTime(1ms);
+        call.reply({ OrderResult::Done, 1000ms }, report);
+    }
+};
+
+} // namespace
+
+// A process that was suspended handles the answers that have arrived meanwhile before anything else.
+TEST_CASE_FIXTURE(Fixture, "an owner that was suspended past the end of its lease sends no order")
+{
+    winCell();
+    beginOwnership();
+    advance(20ms);
+    reportFromTarget();
+    submit("j");
+    advance(20ms);
+    advance(20ms);
+    REQUIRE(answerAll<StoreTxn>(ok()) > 0);
+    REQUIRE(count<StartOrder>() == 1);
+    CHECK(orders.back().target.sendBefore > now);
+    CHECK(orders.back().target.sendBefore <= now + 1s);
+    submit("k");
+    advance(20ms);
+    advance(20ms);
+    const std::size_t before = orders.size();
+    SUBCASE("lease in force")
+    {
+        REQUIRE(answerAll<StoreTxn>(ok()) > 0);
+        CHECK(orders.size() == before + 1);
+    }
+    SUBCASE("lease over")
+    {
+        now += 5s; // No tick: the process stood still.
+        REQUIRE(answerAll<StoreTxn>(ok()) > 0);
+        orders.front().reply({ OrderResult::Lost, {} }, {});
+        CHECK(orders.size() == before);
+        node.tick(now);
+        CHECK(orders.size() == before);
+    }
+}
+
+// The reads were repeated without a pause, 3,049 times in a second, until the lease ended.
+TEST_CASE_FIXTURE(Fixture, "a host that cannot read the records pauses between reads and gives the cell up")
+{
+    winCell();
+    StoreReply refused;
+    refused.status = StoreStatus::Refused;
+    REQUIRE(waitingReads() == 2);
+    answerAll<StoreRange>(refused);
+    CHECK(waitingReads() == 0);
+    advance(50ms);
+    CHECK(waitingReads() == 0);
+    advance(60ms);
+    CHECK(waitingReads() == 2);
+    answerAll<StoreRange>(refused);
+    const auto deletesOwnerKey = [&] {
+        return std::any_of(storeCalls.begin(), storeCalls.end(), [](const StoreCall& call) {
+            const auto* txn = std::get_if<StoreTxn>(&call.request);
+            return txn && !txn->writes.empty() && txn->writes.front().kind == StoreWrite::Kind::Delete;
+        });
+    };
+    CHECK(deletesOwnerKey());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a read of the records that fails once is repeated and the ownership begins")
+{
+    winCell();
+    StoreReply refused;
+    refused.status = StoreStatus::Refused;
+    answerAll<StoreRange>(refused);
+    advance(110ms);
+    beginOwnership();
+    advance(20ms);
+    CHECK(count<LookOrder>() == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an owner hands the cell over to a much stronger host once")
+{
+    proto::NodeRecord record;
+    record.set_address("10.0.0.2:1");
+    record.set_strength_milli(500);
+    winCell({ { "cell/own/node/h2", record.SerializeAsString(), Revision(4) } });
+    beginOwnership();
+    for (int i = 0; i < 4; ++i) {
+        advance(300ms);
+        answerAll<StoreLeaseKeepAlive>(ok());
+    }
+    CHECK(node.statusText(now).find("\"active\":true") != std::string::npos);
+    for (int i = 0; i < 4; ++i) {
+        advance(300ms);
+        answerAll<StoreLeaseKeepAlive>(ok());
+    }
+    CHECK(node.statusText(now).find("\"active\":false") != std::string::npos);
+}
