--- a/tests/test_log.cpp
+++ b/tests/test_log.cpp
@@ -65,9 +65,9 @@
     constexpr int lineCount = 200;
     for (int i = 0; i < lineCount; ++i)
         LogLine(LogLevel::Info, "task_placed").with("number", i).with("text", std::string(60, 'x'));
-    const std::string longText(2 * PIPE_BUF, 'y');
+    const std::string longText(std::size_t { 2 } * PIPE_BUF, 'y');
     LogLine(LogLevel::Warning, "long_line").with("text", longText);
-    LogLine(LogLevel::Info, "after_long_line");
+    LogLine(LogLevel::Info, "after_long_line").with("number", lineCount);
     stopLog();
     std::string all;
     for (const std::string& bytes : output.writes()) {
