--- a/src/advice_targets.cpp
+++ b/src/advice_targets.cpp
@@ -19,26 +19,33 @@
 
 namespace {
 
-    /** Returns the targets with an expired ticket that suffice for a whole gang, nothing if they lack room. */
-    std::vector<std::uint32_t> renewalsForGang(
-        const std::vector<AdviceCandidate>& candidates, const AdviceDemand& demand)
+    /**
+     * Returns targets with an expired ticket that help to place a whole gang, those with the most room first; nothing
+     * if all allowed targets together lack the room. A large gang needs several questions, one after the other.
+     */
+    std::vector<std::uint32_t> renewalsForGang(std::vector<AdviceCandidate> candidates, const AdviceDemand& demand)
     {
         const double wanted = demand.tasks * surplusFactor;
-        double room = 0;
-        std::vector<std::uint32_t> targets;
+        double room = 0; ///< Tasks that fit on targets with a valid ticket or in the question.
+        double possible = 0; ///< Tasks that fit on all allowed targets.
         for (const AdviceCandidate& candidate : candidates) {
-            if (candidate.knowledge == AdviceKnowledge::Valid)
-                room += candidate.fits;
+            possible += candidate.knowledge == AdviceKnowledge::Unknown ? 0 : candidate.fits;
+            room += candidate.knowledge == AdviceKnowledge::Valid ? candidate.fits : 0;
         }
+        std::vector<std::uint32_t> targets;
+        if (possible < demand.tasks)
+            return targets;
+        std::erase_if(candidates, [](const AdviceCandidate& candidate) {
+            return candidate.knowledge != AdviceKnowledge::Allowed || candidate.fits == 0;
+        });
+        std::sort(candidates.begin(), candidates.end(),
+            [](const AdviceCandidate& x, const AdviceCandidate& y) { return x.fits > y.fits; });
         for (const AdviceCandidate& candidate : candidates) {
-            if (candidate.knowledge != AdviceKnowledge::Allowed || candidate.fits == 0 || room >= wanted
-                || targets.size() >= demand.maxTargets)
-                continue;
+            if (room >= wanted || targets.size() >= demand.maxTargets)
+                break;
             room += candidate.fits;
             targets.push_back(candidate.index);
         }
-        if (room < demand.tasks)
-            targets.clear();
         return targets;
     }
 
--- a/tests/test_cell_policies.cpp
+++ b/tests/test_cell_policies.cpp
@@ -259,6 +259,13 @@
     CHECK(chooseAdviceTargets(known, { 2, 0.5, 30, true }) == std::vector<std::uint32_t> { 0 });
     known.push_back(candidate(3, 0, Unknown));
     CHECK(chooseAdviceTargets(known, { 3, 0.5, 30, true }) == std::vector<std::uint32_t> { 3 });
+    // A gang that needs more targets than a question may name gets them with several questions, the roomiest first.
+    std::vector<AdviceCandidate> many;
+    for (std::uint32_t i = 0; i < 100; ++i)
+        many.push_back(candidate(i, i < 70 ? 2 : 4, Allowed));
+    const std::vector<std::uint32_t> first = chooseAdviceTargets(many, { 125, 0.5, 30, true });
+    CHECK(first.size() == 30);
+    CHECK(std::all_of(first.begin(), first.end(), [](std::uint32_t index) { return index >= 70; }));
 }
 
 TEST_CASE("tasks that need accelerators fill targets that are in use before idle ones")
