Add: load of the event loop, as a log line of the owner and as metrics

An owner now logs loop_load once a second: lag, busy share, longest turn, time spent on decisions, open jobs and requests; other hosts do for a turn of 150 ms or more. sp_loop_turn_seconds and sp_loop_lag_microseconds show the same.

--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -105,6 +105,7 @@
     void end(const std::string& reason);
     bool active() const { return m_active; }
     std::size_t targetCount() const { return m_targets.size(); }
+    std::size_t openJobCount() const { return m_open.size(); }
     void setConfig(const CellConfig& config);
     void setBounds(const CellBounds& bounds) { m_bounds = bounds; }
     void setMayOrder(bool mayOrder);
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -45,6 +45,9 @@
     , m_forwarded(metrics.counter("sp_entry_forwarded_total", "Requests passed to the owner of the cell."))
     , m_uncertain(metrics.counter("sp_entry_uncertain_total", "Requests answered without knowing their outcome."))
     , m_requestSeconds(metrics.histogram("sp_entry_request_seconds", "Time from a caller's request to its answer."))
+    , m_turnSeconds(metrics.histogram("sp_loop_turn_seconds", "Duration of a turn of the event loop."))
+    , m_lagMicroseconds(
+          metrics.gauge("sp_loop_lag_microseconds", "Time that an event waits for the event loop, smoothed."))
 {
 }
 
@@ -505,7 +508,9 @@
         listTargets(now);
         pingPeers(now);
         yieldToStrongerHost(now);
-        m_owner.tick(now);
+        const Time ownerTickBegan = m_hooks.clock();
+        m_owner.tick(ownerTickBegan);
+        m_ownerTickTime += m_hooks.clock() - ownerTickBegan;
         m_broker.tick(now);
         m_recordLog.tick(now);
         m_router.tick(now);
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -6,6 +6,7 @@
 #include "cell_session.h"
 #include "http_client.h"
 #include "http_listener.h"
+#include "loop_load.h"
 #include "order_relay.h"
 #include "order_router.h"
 #include "owner_watch.h"
@@ -98,6 +99,7 @@
     Time wakeAt(Time now) const;
     void handleCallbackFailure();
     void loopWasLate(std::chrono::milliseconds late, Time now);
+    void loopTurned(Time began, Time ended);
     std::string statusText(Time now) const { return m_owner.statusText(now); }
 
 private:
@@ -175,6 +177,8 @@
     Time m_nextYieldAt {}; ///< The cell is not handed over to a stronger host before this time.
 
     OwnerWatch m_ownerWatch; ///< Monitors the owner while this host is a standby.
+    LoopLoad m_load;
+    Duration m_ownerTickTime {}; ///< Time spent in CellOwner::tick() since it was last logged.
     Time m_overloadedSince {}; ///< Start of the present series of late event loop iterations.
     Time m_lastLateIterationAt {};
 
@@ -184,6 +188,8 @@
     Counter& m_forwarded;
     Counter& m_uncertain;
     Histogram& m_requestSeconds;
+    Histogram& m_turnSeconds;
+    Gauge& m_lagMicroseconds;
 };
 
 } // namespace sp
--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -284,6 +284,26 @@
 /** Gives up the cell after an unexpected error, as the owner's state may be inconsistent; the next one restores it. */
 void EntryNode::handleCallbackFailure() { m_session.resign("an unexpected error"); }
 
+/** Records a turn of the event loop. Logs the load once a second while this host is the owner, or if it is high. */
+void EntryNode::loopTurned(Time began, Time ended)
+{
+    m_load.turnEnded(began, ended);
+    m_turnSeconds.record(ended - began);
+    m_lagMicroseconds.set(toUs(m_load.lag()));
+    LoopLoadReport report;
+    if (!m_load.takeReport(ended, report) || (!m_session.owning() && report.longestTurn < maxLoopDelay))
+        return;
+    LogLine(LogLevel::Info, "loop_load")
+        .with("owning", m_session.owning())
+        .with("lag_ms", toMs(m_load.lag()))
+        .with("busy_percent", 100 * report.busy / std::max(report.period, Duration(1)))
+        .with("turns", report.turns)
+        .with("longest_turn_ms", toMs(report.longestTurn))
+        .with("open_jobs", m_owner.openJobCount())
+        .with("open_requests", m_openRequests)
+        .with("owner_tick_ms", toMs(std::exchange(m_ownerTickTime, {})));
+}
+
 /**
  * Reports a late iteration of the event loop. The owner resigns if late iterations go on for longer than
  * maxOverloadTime and there is another member.
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -75,6 +75,7 @@
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(std::max(due - now, Duration(0)));
         const int ready = poll(m_fds.data(), m_fds.size(), static_cast<int>(wait.count()));
         const Time woken = BootClock::now();
+        m_turnBeganAt = woken;
         m_lateness = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(woken - due, Duration(0)));
         for (std::size_t i = 0; ready > 0 && i < m_fds.size(); ++i) {
             if (m_fds[i].revents != 0)
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -22,6 +22,8 @@
     void run(const std::function<void(Time now)>& tick, const std::function<Time(Time now)>& wakeAt);
     void stop() { m_stopping = true; }
     std::chrono::milliseconds lateness() const { return m_lateness; }
+    /** Returns the time at which the last wait for events ended. */
+    Time turnBeganAt() const { return m_turnBeganAt; }
 
 private:
     std::vector<pollfd> m_fds;
@@ -29,6 +31,7 @@
     int m_signalFd = -1;
     bool m_stopping = false;
     std::chrono::milliseconds m_lateness { 0 }; ///< How late the present round began.
+    Time m_turnBeganAt {};
 };
 
 } // namespace sp
