--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -1,5 +1,6 @@
 #include "cell_owner.h"
 
+#include "fnv_hash_func.h"
 #include "log_line.h"
 
 #include <algorithm>
@@ -34,6 +35,7 @@
     , m_hooks(std::move(hooks))
     , m_jobsAccepted(metrics.counter("sp_cell_jobs_accepted_total", "Jobs accepted and stored."))
     , m_jobsRefused(metrics.counter("sp_cell_jobs_refused_total", "Jobs refused by the owner."))
+    , m_jobsShed(metrics.counter("sp_cell_jobs_shed_total", "Jobs refused because the owner lags behind its load."))
     , m_startOrders(metrics.counter("sp_cell_starts_total", "Start orders sent."))
     , m_startsUnanswered(metrics.counter("sp_cell_starts_unanswered_total", "Start orders without an answer."))
     , m_runEnds(metrics.counter("sp_cell_ends_total", "Ends of runs taken in."))
@@ -75,10 +77,11 @@
     m_batches = {};
     m_recordRemovals.clear();
     m_targets.clear();
+    m_targetList.reset();
     m_usableTargets.clear();
     m_reachability.clear();
-    m_targetList.reset();
     m_adviceClaims.clear();
+    m_admission = {};
     m_lossRate = 0;
     m_wakeAt.reset();
     m_openJobs.set(0);
@@ -157,6 +160,21 @@
     return queue ? queue->priority : 0;
 }
 
+/** Records how long events wait for the event loop of this host. While they wait too long, submissions are refused. */
+void CellOwner::setLag(Duration lag, Time now)
+{
+    m_lag = lag;
+    m_admission.update(lag, now);
+}
+
+/** Returns when to repeat a submission that was refused for overload; it differs by job, so that not all return at
+ * once. */
+std::chrono::milliseconds CellOwner::overloadRetryAfter(const JobId& id)
+{
+    constexpr std::uint64_t maxSeconds = 3;
+    return std::chrono::seconds(1 + fnvHash(id.value) % maxSeconds);
+}
+
 /**
  * Checks whether a job is valid and fits the capacity of the listed targets of its service.
  * @return Reason for a refusal, nothing if the job may run or no target of the service is listed.
@@ -203,6 +221,17 @@
         reply({ JobAnswer::Kind::Refused, stalledStoreRetry, "the store does not answer" });
         return;
     }
+    if (!m_admission.admit()) {
+        m_jobsRefused.add();
+        m_jobsShed.add();
+        LogLine(LogLevel::Info, "job_refused")
+            .with("job", spec.id)
+            .with("reason", "the owner is overloaded")
+            .with("lag_ms", toMs(m_lag))
+            .with("admitted_percent", static_cast<int>(100 * m_admission.share()));
+        reply({ JobAnswer::Kind::Refused, overloadRetryAfter(spec.id), "the owner is overloaded" });
+        return;
+    }
     if (const auto reason = refusalReason(spec)) {
         m_jobsRefused.add();
         LogLine(LogLevel::Info, "job_refused").with("job", spec.id).with("queue", spec.queue).with("reason", *reason);
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -1,6 +1,7 @@
 /** @file cell_owner.h Schedules all jobs of a cell: admission, placement, orders to targets, run results, recovery. */
 #pragma once
 
+#include "admission.h"
 #include "cell_job.h"
 #include "cell_target.h"
 #include "metrics.h"
@@ -131,6 +132,7 @@
     void batchDecided(std::size_t lane, BatchOutcome outcome, Time now);
     void setStoreStalled(bool stalled) { m_storeStalled = stalled; }
     void setStoreDelay(Duration delay) { m_storeDelay = delay; }
+    void setLag(Duration lag, Time now);
     std::optional<Time> wakeAt() const { return m_wakeAt; }
     void tick(Time now);
     std::string statusText(Time now) const;
@@ -224,6 +226,7 @@
     void removeExpiredJobs(Time now);
     bool isUnattended(const CellTaskKey& key, const TaskState& task, const StepState& step, Time now) const;
     std::optional<std::string> refusalReason(const CellJobSpec& spec) const;
+    static std::chrono::milliseconds overloadRetryAfter(const JobId& id);
 
     // Targets and orders.
     CellTarget* findTarget(const TargetId& id);
@@ -283,17 +286,19 @@
     std::array<RecordBatch, RecordLog::lanes> m_batches; ///< Records being written, by lane.
     /** Replies owed to submitters of jobs that are not stored yet. */
     std::map<JobId, std::vector<JobReply>> m_pendingReplies;
+    Admission m_admission;
+    Duration m_lag {}; ///< Time that an event waits for the event loop of this host.
     Duration m_storeDelay {}; ///< Recent duration of a store transaction.
     bool m_storeStalled = false; ///< The store does not answer, so records cannot be saved.
     std::vector<std::string> m_recordRemovals; ///< Keys of expired job records to delete.
     std::map<TargetId, std::unique_ptr<CellTarget>> m_targets;
     std::uint32_t m_lastTargetSerial = 0;
+    TargetList m_targetList; ///< The list that was last processed completely; null if another one may have an effect.
     /** Targets that may get new work, by service; determined when needed and valid until the next sweep. */
     std::map<ServiceId, std::vector<CellTarget*>> m_usableTargets;
     /** Moving average of the share of targets that the advisor allows, by queue. */
     std::map<QueueId, double> m_allowedShare;
     std::map<TargetId, std::vector<AdviceClaim>> m_adviceClaims; ///< Claims of questions that are not answered yet.
-    TargetList m_targetList; ///< The list that was last processed completely; null if another one may have an effect.
     std::map<DataCentreId, DataCentreReachability> m_reachability;
     double m_lossRate = 0; ///< Moving average of the share of calls to targets that get no answer.
     bool m_dispatchDue = false;
@@ -304,6 +309,7 @@
 
     Counter& m_jobsAccepted;
     Counter& m_jobsRefused;
+    Counter& m_jobsShed;
     Counter& m_startOrders;
     Counter& m_startsUnanswered;
     Counter& m_runEnds;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -506,6 +506,7 @@
         m_owner.setStoreStalled(m_recordLog.stalled(m_session.lastStoreReplyAt(), now));
         m_owner.setStoreDelay(m_recordLog.delay());
         listTargets(now);
+        m_owner.setLag(m_load.lag(), now);
         pingPeers(now);
         yieldToStrongerHost(now);
         const Time ownerTickBegan = m_hooks.clock();
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -7,6 +7,7 @@
 #include "advice_broker.h"
 #include "cell_owner.h"
 #include "cell_world_type.h"
+#include "loop_load.h"
 #include "record_log.h"
 
 #include <algorithm>
@@ -59,6 +60,11 @@
     Duration longPollMargin { 600ms }; ///< Time after the end of a long poll at which it counts as lost.
     int loseEveryNthCall = 0; ///< One in this many calls to targets is carried out without an answer; 0 for none.
     Duration stopsTake { 1ms }; ///< Time from a stop order to the end of the run.
+    /** Time that the owner takes for each event that it handles and each order that it sends; what arrives meanwhile
+     * waits for the end of its turn. 0 for an owner that takes no time. */
+    Duration ownerItemCost {};
+    static constexpr int jobsPerItem = 10; ///< A pass over this many open jobs costs as much as one item.
+    int lapsedRuns = 0; ///< Runs that ended since nobody renewed their lease.
 
     CellWorld()
     {
@@ -100,6 +106,10 @@
             owner->end("replaced");
         log.reset();
         owner.reset();
+        m_inbox.clear();
+        m_ownerBusyUntil = {};
+        m_ownerItems = 0;
+        m_load = {};
         RecordLogHooks hooks;
         hooks.commit = [this](std::size_t lane, StoreTxn&& txn, std::chrono::milliseconds limit) {
             commit(lane, std::move(txn), limit);
@@ -161,8 +171,9 @@
         spec.service = ServiceId("s");
         spec.payload = "payload";
         spec.steps = std::move(steps);
-        owner->submit(
-            std::move(spec), now, [this, job = JobId(id)](JobAnswer&& answer) { answers[job] = answer.kind; });
+        deliver([this, spec = std::move(spec), job = JobId(id)]() mutable {
+            owner->submit(std::move(spec), now, [this, job](JobAnswer&& answer) { answers[job] = answer.kind; });
+        });
     }
 
     void cancel(const std::string& id)
@@ -188,19 +199,29 @@
                 event();
             }
             expireLeases();
-            if (owner) {
+            if (owner && now >= m_ownerBusyUntil) {
+                const Time turnBegan = now;
+                for (const auto& [generation, event] : std::exchange(m_inbox, {})) {
+                    if (generation == ownerGeneration)
+                        handle(event);
+                }
                 if (now >= m_nextListAt) {
                     m_nextListAt = now + 700ms;
                     list();
                 }
                 owner->setStoreStalled(log->stalled(storeHeardAt, now));
                 owner->setStoreDelay(log->delay());
+                owner->setLag(m_load.lag(), now);
                 owner->tick(now);
                 if (const std::size_t unattended = owner->unattendedTasks(now); unattended > 0)
                     violations.push_back(std::to_string(unattended) + " tasks that nothing moves on");
                 if (broker)
                     broker->tick(now);
                 log->tick(now);
+                const auto items
+                    = std::exchange(m_ownerItems, 0) + static_cast<int>(owner->openJobCount()) / jobsPerItem;
+                m_ownerBusyUntil = turnBegan + ownerItemCost * items;
+                m_load.turnEnded(turnBegan, m_ownerBusyUntil);
             }
             now += tickInterval;
         }
@@ -260,6 +281,15 @@
         target.entry.bornAt += 1ms;
     }
 
+    /** Passes an event to the owner, or lets it wait while the owner is in a turn. */
+    void deliver(std::function<void()> event)
+    {
+        if (now < m_ownerBusyUntil)
+            m_inbox.emplace_back(ownerGeneration, std::move(event));
+        else
+            handle(event);
+    }
+
     std::unique_ptr<CellOwner> owner;
     std::unique_ptr<AdviceBroker> broker; ///< Set if advisorHosts is not 0.
     std::unique_ptr<RecordLog> log;
@@ -275,12 +305,18 @@
         m_events.emplace(now + delay, std::move(event));
     }
 
+    void handle(const std::function<void()>& event)
+    {
+        ++m_ownerItems;
+        event();
+    }
+
     /** Schedules an event that is dropped if the owner has been replaced by then. */
     void scheduleForOwner(Duration delay, std::function<void()> event)
     {
-        schedule(delay, [this, expectedGeneration = ownerGeneration, event = std::move(event)] {
+        schedule(delay, [this, expectedGeneration = ownerGeneration, event = std::move(event)]() mutable {
             if (ownerGeneration == expectedGeneration && owner)
-                event();
+                deliver(std::move(event));
         });
     }
 
@@ -345,6 +381,7 @@
                 if (run.leaseEnds <= now)
                     lapsed.push_back(key);
             }
+            lapsedRuns += static_cast<int>(lapsed.size());
             for (const CellTaskKey& key : lapsed)
                 endRun(target, key, EndKind::Lapsed);
         }
@@ -463,6 +500,7 @@
     {
         CellOwnerHooks hooks;
         hooks.start = [this](const CellTarget& target, const StartOrder& order) {
+            ++m_ownerItems;
             const TargetId id = target.id();
             // The order is delivered even if its sender has been replaced by then.
             schedule(1ms, [this, id, order, expectedGeneration = ownerGeneration] {
@@ -488,11 +526,13 @@
                 schedule(reply.result == OrderResult::Lost ? orderTimeout : Duration(1ms),
                     [this, id, order, reply, expectedGeneration] {
                         if (ownerGeneration == expectedGeneration)
-                            owner->onStarted(id, order.task, order.run, reply, now);
+                            deliver(
+                                [this, id, order, reply] { owner->onStarted(id, order.task, order.run, reply, now); });
                     });
             });
         };
         hooks.stop = [this](const CellTarget& target, const CellTaskKey& key, std::uint32_t run, FencingToken token) {
+            ++m_ownerItems;
             const TargetId id = target.id();
             schedule(1ms, [this, id, key, run, token, expectedGeneration = ownerGeneration] {
                 WorldTarget& receiver = targets.at(id);
@@ -512,7 +552,7 @@
                 schedule(reply.result == OrderResult::Lost ? orderTimeout : Duration(1ms),
                     [this, id, key, run, reply, expectedGeneration] {
                         if (ownerGeneration == expectedGeneration)
-                            owner->onStopped(id, key, run, reply, now);
+                            deliver([this, id, key, run, reply] { owner->onStopped(id, key, run, reply, now); });
                     });
             });
         };
@@ -545,11 +585,12 @@
 
     void look(const TargetId& id, const LookOrder& order)
     {
+        ++m_ownerItems;
         schedule(1ms, [this, id, order, expectedGeneration = ownerGeneration] {
             WorldTarget& target = targets.at(id);
             const auto reportLost = [this, id, order, expectedGeneration] {
                 if (ownerGeneration == expectedGeneration)
-                    owner->onReport(id, order, { OrderResult::Lost, {} }, {}, now);
+                    deliver([this, id, order] { owner->onReport(id, order, { OrderResult::Lost, {} }, {}, now); });
             };
             if (!target.alive || !target.reachable) {
                 schedule(order.wait + longPollMargin, reportLost);
@@ -579,7 +620,9 @@
                 if (loseAnswer)
                     schedule(order.wait + longPollMargin, reportLost);
                 else if (ownerGeneration == expectedGeneration)
-                    owner->onReport(id, order, { OrderResult::Done, clockOf(targets.at(id)) }, reportOf(id), now);
+                    deliver([this, id, order, clock = clockOf(targets.at(id)), runs = reportOf(id)] {
+                        owner->onReport(id, order, { OrderResult::Done, clock }, runs, now);
+                    });
             };
             if (!target.ends.empty() || order.wait.count() == 0) {
                 schedule(1ms, report);
@@ -626,11 +669,16 @@
     std::map<HostId, Time> m_advisorIdleAt; ///< Time at which the advisor will have answered all calls of a host.
     std::set<CellTaskKey> m_acknowledgedTasks;
     std::uint64_t m_serial = 0;
+    LoopLoad m_load;
+    Time m_ownerBusyUntil {}; ///< End of the owner's present turn.
+    int m_ownerItems = 0; ///< Events handled and orders sent in the present turn.
+    /** Events that wait for the end of the owner's turn, each with the owner that it is for. */
+    std::vector<std::pair<int, std::function<void()>>> m_inbox;
     int m_callCount = 0;
     int m_commitCount = 0;
     Time m_nextListAt {};
+    TargetList m_list; ///< List as last passed to the owner.
     std::vector<TargetEntry> m_entries; ///< List of targets as last read.
 };
 
 } // namespace sp::test
-    TargetList m_list; ///< List as last passed to the owner.
