--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -425,6 +425,7 @@
         proto::PingAnswer answer;
         answer.set_owning(m_session.owning());
         answer.set_store_silent_ms(static_cast<std::uint32_t>(toMs(m_hooks.clock() - m_session.lastStoreReplyAt())));
+        answer.set_lag_ms(static_cast<std::uint32_t>(toMs(m_load.lag())));
         reply({ 200, answer.SerializeAsString(), "application/octet-stream", {} });
         return;
     }
@@ -505,8 +506,8 @@
         retryReads(now);
         m_owner.setStoreStalled(m_recordLog.stalled(m_session.lastStoreReplyAt(), now));
         m_owner.setStoreDelay(m_recordLog.delay());
-        listTargets(now);
         m_owner.setLag(m_load.lag(), now);
+        listTargets(now);
         pingPeers(now);
         yieldToStrongerHost(now);
         const Time ownerTickBegan = m_hooks.clock();
--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -263,17 +263,18 @@
 void EntryNode::pingOwnerAsStandby(Time now)
 {
     const bool standby = m_session.isStandby() && m_session.reachesStore(now);
-    m_ownerWatch.monitor(standby ? m_session.owner()->revision : Revision {}, now);
+    m_ownerWatch.monitor(m_session.owner() ? m_session.owner()->revision : Revision {}, standby, now);
     if (!m_ownerWatch.due(now))
         return;
     m_ownerWatch.pingSent(now);
-    m_hooks.callPeer(m_session.owner()->address, pingPath, {}, OwnerWatch::timeout,
+    m_hooks.callPeer(m_session.owner()->address, pingPath, {}, m_ownerWatch.timeout(),
         [this, owner = m_session.owner()->revision](HttpResult&& result) {
             const Time at = m_hooks.clock();
             std::optional<OwnerStatus> ownerStatus;
             proto::PingAnswer answer;
             if (result.complete && result.status == 200 && answer.ParseFromString(result.body))
-                ownerStatus = OwnerStatus { answer.owning(), std::chrono::milliseconds(answer.store_silent_ms()) };
+                ownerStatus = OwnerStatus { answer.owning(), std::chrono::milliseconds(answer.store_silent_ms()),
+                    std::chrono::milliseconds(answer.lag_ms()) };
             // If the store does not answer this host either, no claim can succeed.
             const auto reason = m_ownerWatch.handleAnswer(owner, ownerStatus, at);
             if (reason && at - m_session.lastStoreReplyAt() < recentStoreReply)
