--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -507,6 +507,7 @@
         m_owner.setStoreStalled(m_recordLog.stalled(m_session.lastStoreReplyAt(), now));
         m_owner.setStoreDelay(m_recordLog.delay());
         m_owner.setLag(m_load.lag(), now);
+        m_router.setLag(m_load.lag());
         listTargets(now);
         pingPeers(now);
         yieldToStrongerHost(now);
--- a/src/order_router.cpp
+++ b/src/order_router.cpp
@@ -32,6 +32,8 @@
     constexpr std::chrono::milliseconds expiryCheckInterval {
         100
     }; ///< Resolution at which overdue orders are detected.
+    /** Turns of the owner's event loop from a call to its answer: it is sent in one and received in the next two. */
+    constexpr int turnsForAnswer = 3;
     constexpr std::size_t maxOrdersPerCall
         = 150; ///< An order takes up to 5 KB, and the body of a call is limited to 1 MB.
 
@@ -141,6 +143,9 @@
     relay->unsent.push_back(serial);
 }
 
+/** Returns the time by which answers seem late because they wait for the event loop of this host. */
+Duration OrderRouter::lagAllowance() const { return m_lag * turnsForAnswer; }
+
 /** Returns the number of chosen relays, including those that get no orders for a time after a failure. */
 std::size_t OrderRouter::relayCount() const
 {
@@ -158,7 +163,7 @@
 void OrderRouter::tick(Time now)
 {
     for (auto& [host, relay] : m_relays) {
-        if (relay.callsInFlight > 1 && now - relay.lastCallAt > firstCallAnswerTimeout)
+        if (relay.callsInFlight > 1 && now - relay.lastCallAt > firstCallAnswerTimeout + lagAllowance())
             failRelay(host, relay, "silent", now);
         else if (needsCall(relay) && now - relay.lastCallAt >= relayCallInterval)
             sendOrders(host, relay, now);
@@ -205,7 +210,8 @@
     }
     ++relay.callsInFlight;
     relay.lastCallAt = now;
-    m_hooks.callRelay(relay.address, call.SerializeAsString(), longPollTime + relayAnswerMargin,
+    m_hooks.callRelay(relay.address, call.SerializeAsString(),
+        longPollTime + relayAnswerMargin + std::chrono::ceil<std::chrono::milliseconds>(lagAllowance()),
         [this, host, epoch = relay.epoch](HttpResult&& result) { handleAnswer(host, epoch, result, m_hooks.clock()); });
 }
 
@@ -284,7 +290,7 @@
     for (auto& [host, relay] : m_relays) {
         for (auto it = relay.pending.begin(); it != relay.pending.end();) {
             const auto current = it++;
-            if (now < current->second.deadline)
+            if (now < current->second.deadline + lagAllowance())
                 continue;
             LogLine(LogLevel::Warning, "relay_order_overdue")
                 .with("host", host)
--- a/src/order_router.h
+++ b/src/order_router.h
@@ -34,6 +34,7 @@
     void setHosts(const HostId& self, const std::map<HostId, CellMember>& members, std::size_t targets);
     void send(const TargetRef& target, const TargetOrder& order, TargetReply reply);
     void tick(Time now);
+    void setLag(Duration lag) { m_lag = lag; }
     std::optional<Time> wakeAt() const;
     std::size_t relayCount() const;
 
@@ -57,6 +58,7 @@
         bool retiring = false; ///< The relay gets no new orders and is removed once it has no pending ones.
     };
 
+    Duration lagAllowance() const;
     Relay* relayFor(const TargetId& target, Time now);
     void sendOrders(const HostId& host, Relay& relay, Time now);
     void handleAnswer(const HostId& host, std::uint64_t epoch, const HttpResult& result, Time now);
@@ -70,6 +72,7 @@
     std::uint64_t m_lastRelayEpoch = 0; ///< Last epoch assigned to any relay.
     std::uint64_t m_lastSerial = 0;
     std::map<HostId, Relay> m_relays;
+    Duration m_lag {}; ///< Time that an event waits for the event loop of this host.
     Time m_lastExpiryCheckAt {};
 };
 
--- a/tests/test_order_relay.cpp
+++ b/tests/test_order_relay.cpp
@@ -203,6 +203,32 @@
     CHECK(results == std::vector<OrderResult>(40, OrderResult::Lost));
 }
 
+TEST_CASE_FIXTURE(Fixture, "a slow owner does not take a relay for silent whose answers wait for its own event loop")
+{
+    router.setLag(150ms);
+    send(40);
+    now += 160ms;
+    router.tick(now);
+    send(40);
+    now += 160ms;
+    router.tick(now);
+    REQUIRE(peerCalls.size() == 4);
+    now += 400ms; // The answers are there, but the loop gets to them in its third turn only.
+    router.tick(now);
+    CHECK(results.empty());
+    deliver();
+    answerTargets();
+    advance(1ms);
+    CHECK(results == std::vector<OrderResult>(80, OrderResult::Done));
+    send(40);
+    advance(160ms);
+    results.clear();
+    advance(1200ms);
+    CHECK(results.empty()); // Time limits of orders grow as well.
+    advance(300ms);
+    CHECK(results == std::vector<OrderResult>(40, OrderResult::Lost));
+}
+
 TEST_CASE_FIXTURE(Fixture, "when a relay fails, orders not yet sent to it are sent directly")
 {
     send(1);
