--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds listInterval {
-        700
-    }; ///< Well below the notice that a target gives before it leaves.
+    /** Targets rewrite their entries every 1.5 s; the changes of this time take a few milliseconds to decode. */
+    constexpr std::chrono::milliseconds listInterval { 200 };
     constexpr std::chrono::milliseconds pingInterval {
         700
     }; ///< Limits the number of calls and still detects a partition within seconds.
