--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -55,6 +55,7 @@
     std::uint32_t done = 0; ///< Number of tasks that are done.
     StepAdvice advice;
     Time readyAt {}; ///< Time at which all preceding steps were complete; unset before.
+    bool mayHaveWaitingTasks = true; ///< False if all tasks are known to be placed or done.
 
     /** Returns whether all tasks of the step are done. */
     bool complete() const { return done == tasks.size(); }
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -234,6 +234,7 @@
     void sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     void beginStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, const char* reason, Time now);
     void sendStopOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant);
+    void sendDueOrders(CellTarget& target, Time now);
     void releaseRun(CellTarget& target, const CellTaskKey& key, const char* reason, Time now);
     void recordCallOutcome(CellTarget& target, OrderResult result);
     bool dataCentreReachable(const CellTarget& target) const;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -17,6 +17,14 @@
     /** Initial share of allowed targets, until a queue's advisor has answered. */
     constexpr double initialAllowedShare = 0.5;
 
+    /** Returns a hash of a number, by the finalizer of SplitMix64. */
+    std::uint64_t mixed(std::uint64_t number)
+    {
+        number = (number ^ (number >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        number = (number ^ (number >> 27U)) * 0x94d049bb133111ebULL;
+        return number ^ (number >> 31U);
+    }
+
 } // namespace
 
 /** Queues a question to the advisor about a step, unless one is under way already. */
@@ -36,8 +44,11 @@
 {
     const auto [entry, added] = m_usableTargets.try_emplace(service);
     if (added) {
+        const bool allReachable = std::none_of(
+            m_reachability.begin(), m_reachability.end(), [](const auto& known) { return known.second.suspect(); });
         for (const auto& [id, target] : m_targets) {
-            if (target->entry.service == service && target->usable(now) && dataCentreReachable(*target))
+            if (target->usable(now) && target->entry.service == service
+                && (allReachable || dataCentreReachable(*target)))
                 entry->second.push_back(target.get());
         }
     }
@@ -83,7 +94,7 @@
             const auto same = sameStep.find(target);
             candidate.fits = tasksThatFit({ target, room, same == sameStep.end() ? 0 : same->second }, spec);
         }
-        candidate.rank = fnvHash(target->id().value, seed);
+        candidate.rank = mixed(seed ^ target->serial);
         candidates.push_back(candidate);
     }
     for (const std::uint32_t index : chooseAdviceTargets(std::move(candidates), demand))
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -83,6 +83,7 @@
     task.target = nullptr;
     task.recordedTarget = {};
     task.waitingSince = now;
+    job.step(key.stepKey())->mayHaveWaitingTasks = true;
     markDirty(job, now, lazySaveDelay);
     m_dispatchDue = true;
 }
@@ -95,11 +96,12 @@
         const int priority = priorityOf(*job);
         for (auto& [number, occurrence] : job->occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-                const StepState& step = occurrence.steps[s];
-                if (step.readyAt == Time {} || step.complete())
+                StepState& step = occurrence.steps[s];
+                if (step.readyAt == Time {} || !step.mayHaveWaitingTasks || step.complete())
                     continue;
-                if (std::any_of(
-                        step.tasks.begin(), step.tasks.end(), [](const auto& task) { return task.waiting(); })) {
+                step.mayHaveWaitingTasks = std::any_of(
+                    step.tasks.begin(), step.tasks.end(), [](const auto& task) { return task.waiting(); });
+                if (step.mayHaveWaitingTasks) {
                     const bool late = now - job->submittedAt > job->objective * static_cast<int>(lateObjectiveFactor);
                     ready.push_back(
                         { job, number, s, priority, late && !job->spec.steps[s].lasting, job->objectiveAt() });
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -83,6 +83,7 @@
         .with("target", target.id())
         .with("reason", reason);
     m_runStops.add();
+    target.mayHaveOpenOrders = true;
     occupant.phase = RunPhase::Stopping;
     occupant.since = now;
     occupant.confirmedAt = {};
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -279,19 +279,28 @@
     if (!m_mayOrder || target.entry.address.empty())
         return;
     evacuateTarget(target, now);
+    if (std::exchange(target.mayHaveOpenOrders, false))
+        sendDueOrders(target, now);
+    const bool endsToAcknowledge = target.endsSaved() > target.endsAcknowledged;
+    const bool needed = !target.reported || !target.occupants.empty() || endsToAcknowledge || target.silent();
+    if (!target.lookOpen && now >= target.nextLookAt && needed)
+        requestReport(target, now);
+}
+
+/** Sends the orders that are due to a target, and notes whether further ones may become due. */
+void CellOwner::sendDueOrders(CellTarget& target, Time now)
+{
     for (auto& [key, occupant] : target.occupants) {
-        if (occupant.orderOpen || now < occupant.retryAt)
+        const bool confirmed = occupant.confirmedAt != Time {} || occupant.phase == RunPhase::Running;
+        target.mayHaveOpenOrders |= !confirmed;
+        if (confirmed || occupant.orderOpen || now < occupant.retryAt)
             continue;
         // The lease end is a time on the target's clock, which is unknown until the first report.
-        if (occupant.phase == RunPhase::Ordered && occupant.confirmedAt == Time {} && target.reported)
+        if (occupant.phase == RunPhase::Ordered && target.reported)
             sendStartOrder(target, key, occupant, now);
-        else if (occupant.phase == RunPhase::Stopping && occupant.confirmedAt == Time {})
+        else if (occupant.phase == RunPhase::Stopping)
             sendStopOrder(target, key, occupant);
     }
-    const bool endsToAcknowledge = target.endsSaved() > target.endsAcknowledged;
-    const bool needed = !target.reported || !target.occupants.empty() || endsToAcknowledge || target.silent();
-    if (!target.lookOpen && now >= target.nextLookAt && needed)
-        requestReport(target, now);
 }
 
 /** Handles a target's report, or the failure to get one. */
--- a/src/cell_target.cpp
+++ b/src/cell_target.cpp
@@ -20,6 +20,7 @@
     used += occupant.taken;
     unknownReservations += occupant.sizeUnknown ? 1 : 0;
     occupants.emplace(key, occupant);
+    mayHaveOpenOrders = true;
 }
 
 /** Removes the run of a task and frees its capacity; does nothing if the task has no run on this target. */
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -54,6 +54,7 @@
     Resources used; ///< Capacity reserved for all runs on the target.
     int unknownReservations = 0; ///< Number of runs whose reserved capacity is unknown.
     std::unordered_map<CellTaskKey, Occupant> occupants; ///< Runs on the target, by task.
+    bool mayHaveOpenOrders = true; ///< False if no run is known to wait for an order or for its confirmation.
 
     // Clock and lease.
     std::chrono::milliseconds clock { 0 }; ///< Highest reading of the target's clock that was received with an answer.
