--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -33,6 +33,7 @@
     constexpr std::chrono::milliseconds maxLoopDelay {
         150
     }; ///< An event loop with this delay can't meet deadlines of a second.
+    constexpr Duration::rep highLoadPercent = 80; ///< The owner lags behind in a burst of half as much load again.
     constexpr std::chrono::milliseconds maxOverloadTime {
         1500
     }; ///< Longer than any single task that blocks the event loop.
@@ -293,10 +294,12 @@
     LoopLoadReport report;
     if (!m_load.takeReport(ended, report) || (!m_session.owning() && report.longestTurn < maxLoopDelay))
         return;
-    LogLine(LogLevel::Info, "loop_load")
+    const auto busyPercent = 100 * report.busy / std::max(report.period, Duration(1));
+    // Ordinary lines are dropped while there are many of them, which is when this one is needed most.
+    LogLine(busyPercent >= highLoadPercent ? LogLevel::Warning : LogLevel::Info, "loop_load")
         .with("owning", m_session.owning())
         .with("lag_ms", toMs(m_load.lag()))
-        .with("busy_percent", 100 * report.busy / std::max(report.period, Duration(1)))
+        .with("busy_percent", busyPercent)
         .with("turns", report.turns)
         .with("longest_turn_ms", toMs(report.longestTurn))
         .with("open_jobs", m_owner.openJobCount())
