Fix: a task that crashes its targets was started on one after the other without end (BUDGET)

Nothing counted crashes, and most tasks under a crashed target are innocent. They are counted in the job record now; a suspect runs alone, and its job fails if its target crashes once more. An answer of another incarnation no longer moves the clock and the last sign of life of the target that is gone. Tests: test_cell_crash; before: four of six fail (the task is still running after 5 to 10 crashes), the two that guard silent, drained and lasting work pass before and after.

--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -227,6 +227,9 @@
                 outTask.set_done(task.done);
                 if (!task.done) {
                     outTask.set_target(task.recordedTarget.value);
+                    outTask.set_target_born_ms(task.recordedBornAt.time_since_epoch().count());
+                    outTask.set_crashes(task.crashes);
+                    outTask.set_suspect(task.suspect);
                     outTask.set_checkpoint(task.checkpoint);
                 }
             }
@@ -274,6 +277,9 @@
                 task.failures = inTask.failures();
                 task.done = inTask.done();
                 task.recordedTarget = TargetId(inTask.target());
+                task.recordedBornAt = CalendarTime(ms(inTask.target_born_ms()));
+                task.crashes = inTask.crashes();
+                task.suspect = inTask.suspect();
                 task.checkpoint = inTask.checkpoint();
                 step.done += task.done ? 1 : 0;
             }
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -42,6 +42,9 @@
     , m_runStops(metrics.counter("sp_cell_stops_total", "Runs that were ordered to stop."))
     , m_reportRequests(metrics.counter("sp_cell_looks_total", "Reports asked of targets."))
     , m_adviceQuestions(metrics.counter("sp_cell_advice_questions_total", "Questions to the advisor."))
+    , m_crashesCounted(metrics.counter(
+          "sp_cell_task_crashes_total", "Crashes of targets, counted for each task that they had started."))
+    , m_tasksGivenUp(metrics.counter("sp_cell_tasks_given_up_total", "Tasks given up because they crash targets."))
     , m_openJobs(metrics.gauge("sp_cell_open_jobs", "Jobs that have not ended."))
     , m_unattendedTasks(
           metrics.gauge("sp_cell_unattended_tasks", "Open tasks that no run, queue or question moves on."))
@@ -78,6 +81,7 @@
     m_recordRemovals.clear();
     m_targets.clear();
     m_targetList.reset();
+    m_reservations.clear();
     m_usableTargets.clear();
     m_reachability.clear();
     m_adviceClaims.clear();
@@ -605,9 +609,11 @@
         for (auto it = m_targets.begin(); it != m_targets.end();) {
             maintainTarget(*it->second, now);
             const CellTarget& target = *it->second;
-            const bool gone = !target.listed && target.occupants.empty() && target.silent() && target.lapsed(now);
+            const bool gone = !target.listed && target.occupants.empty() && target.lostRuns.empty() && target.silent()
+                && target.lapsed(now);
             it = gone ? m_targets.erase(it) : std::next(it);
         }
+        releaseStaleReservations(now);
         m_usableTargets.clear();
         for (CellJob* job : m_open) {
             if (job->timed())
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -254,6 +254,25 @@
     void beginIncarnation(CellTarget& target, Time now);
     void releaseEndedIncarnation(CellTarget& target, const char* reason, Time now);
 
+    // Tasks that crash their targets.
+    static bool hasCrashed(const CellTarget& target, CalendarTime assignedTo);
+    static std::optional<LostRun> describeLostRun(
+        const CellTarget& target, const CellTaskKey& key, const Occupant& occupant, Time now);
+    void countCrash(const CellTarget& target, const LostRun& run, Time now);
+    void settleLostRuns(CellTarget& target, Time now);
+    void markReplaced(CellTarget& target, Time now);
+    static void forgetLostRuns(CellTarget& target, Time now);
+    enum class AlonePlacement : std::uint8_t {
+        Placed,
+        Waiting, ///< For a target, or for a ticket for it.
+        Impossible, ///< The task has waited for too long and is placed like any other.
+    };
+    AlonePlacement placeAlone(
+        const ReadyStep& ready, std::uint32_t index, std::vector<PlacementOption>& options, Time now);
+    void reserve(CellTarget& target, const CellTaskKey& key);
+    CellTarget* reserveTarget(const ReadyStep& ready, const CellTaskKey& key, Time now);
+    void releaseStaleReservations(Time now);
+
     // Placement.
     void dispatch(Time now);
     std::vector<ReadyStep> readySteps(Time now);
@@ -294,6 +313,7 @@
     std::vector<std::string> m_recordRemovals; ///< Keys of expired job records to delete.
     std::map<TargetId, std::unique_ptr<CellTarget>> m_targets;
     std::uint32_t m_lastTargetSerial = 0;
+    std::map<CellTaskKey, TargetId> m_reservations; ///< Targets that suspects have, or will have, for themselves.
     TargetList m_targetList; ///< The list that was last processed completely; null if another one may have an effect.
     /** Targets that may get new work, by service; determined when needed and valid until the next sweep. */
     std::map<ServiceId, std::vector<CellTarget*>> m_usableTargets;
@@ -317,6 +337,8 @@
     Counter& m_runStops;
     Counter& m_reportRequests;
     Counter& m_adviceQuestions;
+    Counter& m_crashesCounted;
+    Counter& m_tasksGivenUp;
     Gauge& m_openJobs;
     Gauge& m_unattendedTasks;
     Histogram& m_taskWaitSeconds;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -78,6 +78,8 @@
     candidates.reserve(targets.size());
     for (std::uint32_t i = 0; i < targets.size(); ++i) {
         CellTarget* target = targets[i];
+        if (target->reservedFor && target->reservedFor->stepKey() != question.step)
+            continue;
         AdviceCandidate candidate { i, 0, AdviceKnowledge::Unknown, 0 };
         Resources room = target->room();
         if (advice.answered.contains(target->serial)) {
--- /dev/null
+++ b/src/cell_owner_crashes.cpp
@@ -0,0 +1,207 @@
+#include "cell_owner.h"
+
+#include "log_line.h"
+
+#include <algorithm>
+
+namespace sp {
+
+namespace {
+
+    /** A target that answers this long after the start of a run has not crashed because of that start. */
+    constexpr std::chrono::milliseconds startSurvived { 300 };
+    /** A run of this age is no likelier to have crashed its target than any other cause. */
+    constexpr std::chrono::seconds maxAgeAtCrash { 10 };
+    /** With the last crash while the task had the target for itself. */
+    constexpr std::uint32_t crashesForVerdict = 2;
+    /** Whatever ran beside the task. Bounds the harm of a task that crashes its targets only after a while. */
+    constexpr std::uint32_t maxCrashes = 4;
+    constexpr std::uint32_t maxGangCrashes
+        = 3; ///< Members of a gang run beside each other, so none gets a target alone.
+    /** Afterwards the task is placed beside others, as its job would end too late. */
+    constexpr std::chrono::milliseconds maxWaitForReservation { 1500 };
+    constexpr std::size_t targetsPerReservation = 16; ///< Limits the capacity that is held back.
+    constexpr std::chrono::seconds lastingRunProven { 2 }; ///< A lasting task shares its target again after this.
+    constexpr std::chrono::seconds lostRunMemory { 60 }; ///< A crashed target is back within some seconds.
+
+} // namespace
+
+/** Returns whether the incarnation of a target to which a run was assigned has ended without having been drained. */
+bool CellOwner::hasCrashed(const CellTarget& target, CalendarTime assignedTo)
+{
+    // A target from the records that is not registered any more has ended before this owner began.
+    const bool endedBefore = !target.listed && target.heardAt == Time {};
+    return assignedTo != CalendarTime {} && assignedTo != target.drainedBornAt
+        && (target.replaced || target.latestBornAt() > assignedTo || endedBefore);
+}
+
+/** Returns what a crash of the target has to know of a run there; nothing if the run cannot have begun. */
+std::optional<LostRun> CellOwner::describeLostRun(
+    const CellTarget& target, const CellTaskKey& key, const Occupant& occupant, Time now)
+{
+    const bool begun = occupant.phase == RunPhase::Ordered ? occupant.unsure || occupant.orderOpen
+                                                           : occupant.phase != RunPhase::Recording;
+    // The next incarnation may already have answered an order for this one.
+    const Time lastHeard = target.heardBeforeSilence != Time {} ? target.heardBeforeSilence : target.heardAt;
+    if (!begun || lastHeard - occupant.startedAt > maxAgeAtCrash)
+        return std::nullopt;
+    // A run of a former owner may have lasted for long; only the return of its target shows that it has crashed.
+    const bool startedLast = occupant.phase == RunPhase::Recovered ? target.listed || target.replaced
+                                                                   : lastHeard - occupant.startedAt < startSurvived;
+    return LostRun { key, occupant.bornAt, startedLast, occupant.alone, now };
+}
+
+/**
+ * Counts the crash of a target for a task of which a run had begun there. Most such tasks only had bad luck. One that
+ * was started just before the crash, or was hit before, is a suspect: its next run gets a target for itself. If that
+ * target crashes too, the task is the cause, and its job fails, as each further run would crash a target with all the
+ * work on it.
+ */
+void CellOwner::countCrash(const CellTarget& target, const LostRun& run, Time now)
+{
+    CellJob* job = findOpenJob(run.task.job);
+    TaskState* task = findOpenTask(run.task);
+    if (!task || task->done)
+        return;
+    ++task->crashes;
+    task->suspect = run.startedLast || run.alone || task->crashes > 1;
+    m_crashesCounted.add();
+    markDirty(*job, now, lazySaveDelay);
+    LogLine(LogLevel::Warning, "target_crashed")
+        .with("task", taskText(run.task))
+        .with("run", task->run)
+        .with("target", target.id())
+        .with("crashes", task->crashes)
+        .with("started_last", run.startedLast)
+        .with("alone", run.alone);
+    const bool gang = findStepSpec(run.task)->gang;
+    if (!(run.alone && task->crashes >= crashesForVerdict) && task->crashes < (gang ? maxGangCrashes : maxCrashes))
+        return;
+    m_tasksGivenUp.add();
+    LogLine(LogLevel::Warning, "task_given_up")
+        .with("task", taskText(run.task))
+        .with("crashes", task->crashes)
+        .with("reason", run.alone ? "crashed a target that it had for itself" : "too many targets crashed under it");
+    finishJob(*job, JobState::Failed, now);
+}
+
+/** Counts a crash for the runs that were given up while the target was silent, now that it has turned out to be one. */
+void CellOwner::settleLostRuns(CellTarget& target, Time now)
+{
+    for (const LostRun& run : std::exchange(target.lostRuns, {})) {
+        if (hasCrashed(target, run.bornAt))
+            countCrash(target, run, now);
+    }
+}
+
+/** Records that another incarnation runs on the target's machine or answers at its address. */
+void CellOwner::markReplaced(CellTarget& target, Time now)
+{
+    target.replaced = true;
+    settleLostRuns(target, now);
+}
+
+/** Gives a suspect a target for itself: an idle one, or one that is reserved and from which the other runs go. */
+CellOwner::AlonePlacement CellOwner::placeAlone(
+    const ReadyStep& ready, std::uint32_t index, std::vector<PlacementOption>& options, Time now)
+{
+    CellJob& job = *ready.job;
+    const CellTaskKey key = ready.taskKey(index);
+    const StepSpec& spec = job.spec.steps[ready.step];
+    const StepAdvice& advice = job.step(ready.stepKey())->advice;
+    const QueueConfig* queue = queueOf(job);
+    if (now - job.task(key)->waitingSince > maxWaitForReservation)
+        return AlonePlacement::Impossible;
+    const auto reservation = m_reservations.find(key);
+    CellTarget* target = reservation == m_reservations.end() ? nullptr : findTarget(reservation->second);
+    if (!target || target->reservedFor != key || !target->usable(now)) {
+        std::vector<PlacementOption> idle;
+        std::copy_if(options.begin(), options.end(), std::back_inserter(idle),
+            [](const PlacementOption& option) { return option.target->occupants.empty(); });
+        const PlacementOption* option = chooseOption(idle, { &spec, &job.task(key)->avoid, {} });
+        target = option ? option->target : reserveTarget(ready, key, now);
+    }
+    if (!target || !target->occupants.empty())
+        return AlonePlacement::Waiting;
+    const auto ticket = advice.allowed.find(target->id());
+    if (queue && queue->advisor && (ticket == advice.allowed.end() || ticket->second.validUntil < now + ticketMargin))
+        return AlonePlacement::Waiting;
+    reserve(*target, key);
+    std::erase_if(options, [&](const PlacementOption& option) { return option.target == target; });
+    assignTask(job, key, *target, now);
+    target->occupants.at(key).alone = true;
+    return AlonePlacement::Placed;
+}
+
+void CellOwner::reserve(CellTarget& target, const CellTaskKey& key)
+{
+    if (const auto former = m_reservations.find(key); former != m_reservations.end()) {
+        if (CellTarget* other = findTarget(former->second); other && other->reservedFor == key)
+            other->reservedFor.reset();
+    }
+    target.reservedFor = key;
+    m_reservations[key] = target.id();
+}
+
+/** Reserves the target with the fewest runs for a task, null if too many are reserved or none may run the task. */
+CellTarget* CellOwner::reserveTarget(const ReadyStep& ready, const CellTaskKey& key, Time now)
+{
+    if (m_reservations.size() > m_targets.size() / targetsPerReservation)
+        return nullptr;
+    const CellJob& job = *ready.job;
+    const StepSpec& spec = job.spec.steps[ready.step];
+    const QueueConfig* queue = queueOf(job);
+    const StepAdvice& advice = ready.job->step(ready.stepKey())->advice;
+    CellTarget* best = nullptr;
+    for (CellTarget* target : usableTargets(serviceOf(job), now)) {
+        const bool allowed = !queue || !queue->advisor || advice.allowed.contains(target->id());
+        const bool lasting = std::any_of(
+            target->occupants.begin(), target->occupants.end(), [](const auto& entry) { return entry.second.lasting; });
+        if (allowed && !lasting && !target->reservedFor && mayEverRun(*target, spec)
+            && (!best || target->occupants.size() < best->occupants.size()))
+            best = target;
+    }
+    if (best) {
+        reserve(*best, key);
+        LogLine(LogLevel::Info, "target_reserved")
+            .with("task", taskText(key))
+            .with("target", best->id())
+            .with("runs", best->occupants.size());
+    }
+    return best;
+}
+
+/** Ends reservations that no task needs any more, and forgets runs that were lost long ago. */
+void CellOwner::releaseStaleReservations(Time now)
+{
+    for (auto it = m_reservations.begin(); it != m_reservations.end();) {
+        const CellTaskKey& key = it->first;
+        CellTarget* target = findTarget(it->second);
+        TaskState* task = findOpenTask(key);
+        const bool held = target && target->reservedFor == key;
+        const auto run = held ? target->occupants.find(key) : decltype(target->occupants.end()) {};
+        const bool running = held && run != target->occupants.end();
+        if (running && task && run->second.lasting && run->second.phase == RunPhase::Running
+            && target->heardAt - run->second.startedAt > lastingRunProven) {
+            run->second.alone = false;
+            task->suspect = false;
+        }
+        const bool waiting = task && task->waiting() && task->suspect && target && target->usable(now)
+            && now - task->waitingSince <= maxWaitForReservation;
+        if (held && (running ? run->second.alone : waiting)) {
+            ++it;
+            continue;
+        }
+        if (held)
+            target->reservedFor.reset();
+        it = m_reservations.erase(it);
+    }
+}
+
+/** Forgets runs that were given up long ago, so that the target itself can be forgotten. */
+void CellOwner::forgetLostRuns(CellTarget& target, Time now)
+{
+    std::erase_if(target.lostRuns, [&](const LostRun& run) { return now - run.lostAt > lostRunMemory; });
+}
+
+} // namespace sp
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -136,7 +136,7 @@
     const auto sameStep = state.tasksByTarget();
     std::vector<PlacementOption> options;
     const auto consider = [&](CellTarget& target) {
-        if (target.entry.service != service || !target.usable(now) || !dataCentreReachable(target)
+        if (target.entry.service != service || target.reservedFor || !target.usable(now) || !dataCentreReachable(target)
             || !mayEverRun(target, step))
             return;
         const auto same = sameStep.find(&target);
@@ -173,6 +173,11 @@
         TaskState& task = state.tasks[i];
         if (!task.waiting())
             continue;
+        if (const auto alone = task.suspect ? placeAlone(ready, i, options, now) : AlonePlacement::Impossible;
+            alone != AlonePlacement::Impossible) {
+            hasUnplaced |= alone == AlonePlacement::Waiting;
+            continue;
+        }
         PlacementOption* option = chooseOption(options, { &spec, &task.avoid, {} });
         if (!option) {
             hasUnplaced = true;
@@ -262,7 +267,10 @@
     ++task.run;
     task.target = &target;
     task.recordedTarget = target.id();
-    target.occupy(key, makeOccupant(spec, task.run, RunPhase::Recording, now));
+    task.recordedBornAt = target.latestBornAt();
+    Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recording, now);
+    occupant.bornAt = task.recordedBornAt;
+    target.occupy(key, occupant);
     m_taskWaitSeconds.record(now - task.waitingSince);
     LogLine(LogLevel::Info, "task_placed")
         .with("task", taskText(key))
@@ -278,6 +286,7 @@
             return;
         it->second.phase = RunPhase::Ordered;
         it->second.since = m_eventTime;
+        it->second.startedAt = m_eventTime;
         it->second.retryAt = m_eventTime;
         if (m_mayOrder && found->reported)
             sendStartOrder(*found, key, it->second, m_eventTime);
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -34,7 +34,9 @@
         m_hooks.superseded("target " + id.value + " has seen a higher token");
         return {};
     }
-    if (answer.clock)
+    if (answer.result == OrderResult::OtherLife)
+        markReplaced(*target, now); // Its clock is not that of this target.
+    else if (answer.clock)
         target->sawClock(*answer.clock, now);
     const auto it = target->occupants.find(key);
     return { target, it == target->occupants.end() || it->second.run != run ? nullptr : &it->second };
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -97,7 +97,8 @@
     for (auto& [id, target] : m_targets) {
         const auto latest = latestByMachine.find(target->entry.machine);
         if (latest != latestByMachine.end() && latest->second != target.get()
-            && target->entry.bornAt < latest->second->entry.bornAt && !target->occupants.empty()) {
+            && target->entry.bornAt < latest->second->entry.bornAt) {
+            markReplaced(*target, now);
             releaseEndedIncarnation(*target, "a later incarnation runs on its machine", now);
             if (!target->occupants.empty()) // The next list releases the others.
                 m_targetList.reset();
@@ -118,6 +119,7 @@
         target.leavesAt = {};
         return;
     }
+    target.drainedBornAt = entry.bornAt;
     if (target.leavesAt != Time {})
         return; // Keeps the first deadline: leavesIn counts from the time the entry was written.
     target.leavesAt = now + entry.leavesIn.value_or(m_bounds.drain);
@@ -150,6 +152,8 @@
 void CellOwner::beginIncarnation(CellTarget& target, Time now)
 {
     LogLine(LogLevel::Warning, "target_restarted").with("target", target.id()).with("runs", target.occupants.size());
+    if (target.heardBeforeSilence == Time {})
+        target.heardBeforeSilence = target.heardAt;
     target.reported = false;
     target.endsSeen = 0;
     target.endsAcknowledged = 0;
@@ -189,13 +193,22 @@
     if (it == target.occupants.end())
         return;
     const std::uint32_t run = it->second.run;
+    const auto lost = describeLostRun(target, key, it->second, now);
     LogLine(LogLevel::Info, "run_gone")
         .with("task", taskText(key))
         .with("run", run)
         .with("target", target.id())
         .with("reason", reason);
     target.release(key);
+    const TaskState* task = findOpenTask(key);
+    const bool current = task && task->run == run;
     requeueIfCurrent(key, run, now);
+    if (!lost || !current)
+        return;
+    if (hasCrashed(target, lost->bornAt))
+        countCrash(target, *lost, now);
+    else
+        target.lostRuns.push_back(*lost);
 }
 
 void CellOwner::requeueIfCurrent(const CellTaskKey& key, std::uint32_t run, Time now)
@@ -221,8 +234,11 @@
     if (!target.silent()) // Calls to targets known to be silent would distort the loss rate of the others.
         m_lossRate += lossRateWeight * ((answered ? 0.0 : 1.0) - m_lossRate);
     target.missedAnswer |= !answered;
-    if (!answered && ++target.unanswered == CellTarget::silentAfterCalls)
+    if (!answered && ++target.unanswered == CellTarget::silentAfterCalls) {
+        if (target.heardBeforeSilence == Time {})
+            target.heardBeforeSilence = target.heardAt;
         LogLine(LogLevel::Warning, "target_silent").with("target", target.id()).with("runs", target.occupants.size());
+    }
 }
 
 /** Returns whether the data centre of a target answers well enough for new work. */
@@ -271,6 +287,7 @@
             releaseRun(target, key, "lease expired", now);
         target.reported = target.reported && lapsed.empty();
     }
+    forgetLostRuns(target, now);
     // A target that never answered this owner holds only runs of a former owner.
     if (target.heardAt == Time {} && now >= target.lapsesBy) {
         for (const CellTaskKey& key : target.tasksWhere([](const CellTaskKey&, const Occupant&) { return true; }))
@@ -342,6 +359,8 @@
     processEnds(*target, report, now);
     target->missedAnswer = false;
     reconcileRuns(*target, report, order.sentAt, now);
+    settleLostRuns(*target, now); // The target has either crashed or was only silent.
+    target->heardBeforeSilence = {};
     stopStalledRuns(*target, now);
     adjustPaces(*target, now);
     target->nextLookAt = now + (report.ended.empty() ? std::chrono::milliseconds(0) : reportPause);
--- a/src/cell_recovery.cpp
+++ b/src/cell_recovery.cpp
@@ -61,7 +61,9 @@
                     const StepSpec& spec = job.spec.steps[s];
                     CellTarget& target = findOrAddTarget(task.recordedTarget);
                     task.target = &target;
-                    const Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recovered, now);
+                    Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recovered, now);
+                    occupant.bornAt = task.recordedBornAt;
+                    occupant.startedAt = now;
                     const CellTaskKey key { id, number, s, i };
                     target.occupy(key, occupant);
                     ++runs;
--- a/src/cell_target.cpp
+++ b/src/cell_target.cpp
@@ -30,6 +30,8 @@
         used -= it->second.taken;
         unknownReservations -= it->second.sizeUnknown ? 1 : 0;
         occupants.erase(it);
+        if (reservedFor == key)
+            reservedFor.reset();
     }
 }
 
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -3,6 +3,8 @@
 
 #include "cell_type.h"
 
+#include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -43,6 +45,18 @@
     Time paceAt {}; ///< Time at which the speed limit was last changed.
     bool paceOpen = false; ///< An order that changes the speed limit is not answered yet.
     std::string stopReason; ///< Reason for stopping the run, for the log.
+    CalendarTime bornAt {}; ///< Start time of the target's incarnation to which the run was assigned.
+    Time startedAt {}; ///< Time of the first start order, or of the take-over for a recovered run.
+    bool alone = false; ///< The run has had the target for itself since its start.
+};
+
+/** A run that was given up because the lease of its silent target was over. */
+struct LostRun {
+    CellTaskKey task;
+    CalendarTime bornAt {}; ///< As Occupant::bornAt.
+    bool startedLast = false; ///< The target was not heard again after the start of the run.
+    bool alone = false; ///< As Occupant::alone.
+    Time lostAt {};
 };
 
 /** One target in the memory of the owner. */
@@ -56,6 +70,14 @@
     std::unordered_map<CellTaskKey, Occupant> occupants; ///< Runs on the target, by task.
     bool mayHaveOpenOrders = true; ///< False if no run is known to wait for an order or for its confirmation.
 
+    /** Task that has the target for itself, once the other runs there have ended; set while it waits or runs. */
+    std::optional<CellTaskKey> reservedFor;
+    /** Runs that were given up while the target was silent. If it turns out to have crashed, that counts for them. */
+    std::vector<LostRun> lostRuns;
+    CalendarTime drainedBornAt {}; ///< Start time of the incarnation that was last seen draining.
+    Time heardBeforeSilence {}; ///< Time of the last answer before the target fell silent; unset once it reports again.
+    bool replaced = false; ///< Another incarnation runs on its machine or answers at its address.
+
     // Clock and lease.
     std::chrono::milliseconds clock { 0 }; ///< Highest reading of the target's clock that was received with an answer.
     Time clockSeenAt {}; ///< Time at which that reading was received; unset if there is none.
@@ -94,6 +116,8 @@
         }
         return tasks;
     }
+    /** Returns the start time of the latest known incarnation with this id. */
+    CalendarTime latestBornAt() const { return std::max(entry.bornAt, reportedBornAt); }
     /** Returns the capacity that is not reserved. */
     Resources room() const { return entry.capacity - used; }
     void occupy(const CellTaskKey& key, const Occupant& occupant);
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -64,6 +64,12 @@
      * waits for the end of its turn. 0 for an owner that takes no time. */
     Duration ownerItemCost {};
     static constexpr int jobsPerItem = 10; ///< A pass over this many open jobs costs as much as one item.
+    /** Returns whether a task crashes the target that starts it. */
+    std::function<bool(const CellTaskKey&)> crashesTarget;
+    Duration crashDelay { 10ms }; ///< Time from the start of such a task to the crash.
+    Duration restartDelay { 3500ms }; ///< Time from a crash until the next incarnation of the target is listed.
+    bool restartKeepsId = false; ///< The next incarnation has the id of the one that crashed.
+    std::map<CellTaskKey, int> crashesUnder; ///< Number of targets that crashed while they ran a task.
     int lapsedRuns = 0; ///< Runs that ended since nobody renewed their lease.
 
     CellWorld()
@@ -290,6 +296,32 @@
             handle(event);
     }
 
+    /** Ends a target with all its runs; a new incarnation on its machine follows. */
+    void crash(const TargetId& id)
+    {
+        WorldTarget& target = targets.at(id);
+        if (!target.alive)
+            return;
+        for (const auto& [key, run] : target.runs)
+            ++crashesUnder[key];
+        target.alive = false;
+        target.runs.clear();
+        schedule(restartDelay, [this, id] {
+            WorldTarget& former = targets.at(id);
+            if (restartKeepsId) {
+                restartTarget(former);
+                former.alive = true;
+                return;
+            }
+            former.listed = false;
+            WorldTarget next;
+            next.entry = former.entry;
+            next.entry.id = TargetId(id.value + "'");
+            next.entry.bornAt += 1ms;
+            targets.emplace(next.entry.id, next);
+        });
+    }
+
     std::unique_ptr<CellOwner> owner;
     std::unique_ptr<AdviceBroker> broker; ///< Set if advisorHosts is not 0.
     std::unique_ptr<RecordLog> log;
@@ -408,6 +440,12 @@
         target.runs.emplace(order.task, run);
         starts.push_back({ order.task, order.run, target.entry.id, now });
         const TargetId id = target.entry.id;
+        if (crashesTarget && crashesTarget(order.task))
+            schedule(crashDelay, [this, id, key = order.task, serial = run.serial] {
+                const auto& runs = targets.at(id).runs;
+                if (const auto it = runs.find(key); it != runs.end() && it->second.serial == serial)
+                    crash(id);
+            });
         if (target.failsAll)
             schedule(50ms, [this, id, key = order.task, serial = run.serial] {
                 endRunIfCurrent(id, key, serial, EndKind::Failed);
