Fix: a task was started on a target whose capacity had shrunk since it was placed (LIMIT)

Cause: capacity is taken from each list of targets, so nothing was placed beyond a smaller one. But a start order was sent whatever had become of the target since the placement: while the record waited for the store, or as a repetition of an order without an answer. Change: before its first start order a placement is withdrawn if the runs on the target, those being stopped included, need more than its capacity by now; a run of which an order may have been lost is stopped instead of ordered again. What runs already goes on: the rule and the users ask for no stop, and stopped work is lost. target_resized tells of it.

--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -234,6 +234,7 @@
     void sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     void beginStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, const char* reason, Time now);
     void sendStopOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant);
+    bool withdrawIfShrunk(CellTarget& target, const CellTaskKey& key, Time now);
     void sendDueOrders(CellTarget& target, Time now);
     void releaseRun(CellTarget& target, const CellTaskKey& key, const char* reason, Time now);
     void recordCallOutcome(CellTarget& target, OrderResult result);
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -288,7 +288,7 @@
         it->second.since = m_eventTime;
         it->second.startedAt = m_eventTime;
         it->second.retryAt = m_eventTime;
-        if (m_mayOrder && found->reported)
+        if (!withdrawIfShrunk(*found, key, m_eventTime) && m_mayOrder && found->reported)
             sendStartOrder(*found, key, it->second, m_eventTime);
     });
 }
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -16,6 +16,7 @@
     constexpr std::chrono::milliseconds unreachablePause { 500 };
     /** After this many start orders the run is stopped, so that the task can be placed elsewhere. */
     constexpr int maxStartAttempts = 3;
+    constexpr const char* targetShrunk = "the target's capacity has shrunk";
 
 } // namespace
 
@@ -53,6 +54,18 @@
         --task->run;
 }
 
+/** Withdraws a placement of which no order was sent yet, if the target has shrunk since. @return True if so. */
+bool CellOwner::withdrawIfShrunk(CellTarget& target, const CellTaskKey& key, Time now)
+{
+    const auto run = target.occupants.find(key);
+    const bool unsent
+        = run != target.occupants.end() && run->second.phase == RunPhase::Ordered && run->second.tries == 0;
+    if (!unsent || !target.overcommitted())
+        return false;
+    handleRefusedStart(target, key, targetShrunk, now);
+    return true;
+}
+
 /** Sends a start order. A retry after a lost answer has the same run number, so the target runs it once. */
 void CellOwner::sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now)
 {
@@ -62,6 +75,10 @@
         beginStop(target, key, occupant, task ? "start orders not answered" : "job is finished", now);
         return;
     }
+    if (target.overcommitted()) { // An earlier order may have been lost, so that this one would start the run.
+        beginStop(target, key, occupant, targetShrunk, now);
+        return;
+    }
     StartOrder order { key, occupant.run, job->spec.payload, task->checkpoint, {}, {}, m_token };
     const auto& allowed = job->step(key.stepKey())->advice.allowed;
     if (const auto it = allowed.find(target.id()); it != allowed.end())
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -87,6 +87,13 @@
         updateDrainDeadline(target, entry, now);
         if (target.entry.bornAt != CalendarTime {} && entry.bornAt > target.entry.bornAt)
             beginIncarnation(target, now);
+        if (target.listed && target.entry.bornAt == entry.bornAt && target.entry.capacity != entry.capacity)
+            LogLine(LogLevel::Info, "target_resized")
+                .with("target", entry.id)
+                .with("cores_milli", entry.capacity.coresMilli)
+                .with("memory_mb", entry.capacity.memoryMb)
+                .with("before_milli", target.entry.capacity.coresMilli)
+                .with("used_milli", target.used.coresMilli);
         target.entry = entry;
         target.listed = true;
         if (entry.machine.empty())
@@ -307,6 +314,10 @@
 /** Sends the orders that are due to a target, and notes whether further ones may become due. */
 void CellOwner::sendDueOrders(CellTarget& target, Time now)
 {
+    if (target.overcommitted()) {
+        for (const CellTaskKey& key : target.tasksWhere([](const CellTaskKey&, const Occupant&) { return true; }))
+            withdrawIfShrunk(target, key, now);
+    }
     for (auto& [key, occupant] : target.occupants) {
         const bool confirmed = occupant.confirmedAt != Time {} || occupant.phase == RunPhase::Running;
         target.mayHaveOpenOrders |= !confirmed;
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -122,6 +122,8 @@
     Resources room() const { return entry.capacity - used; }
     void occupy(const CellTaskKey& key, const Occupant& occupant);
     void release(const CellTaskKey& key);
+    /** Returns whether the runs need more than the capacity, which has shrunk since they were placed. */
+    bool overcommitted() const { return !used.fitsIn(entry.capacity); }
     std::chrono::milliseconds clockAtLeast(Time now) const;
     void sawClock(std::chrono::milliseconds reading, Time now);
     bool lapsed(Time now) const;
--- a/tests/cell_world_type.h
+++ b/tests/cell_world_type.h
@@ -33,6 +33,9 @@
     std::uint64_t lastEnd = 0;
     std::uint64_t acknowledged = 0;
     std::set<std::pair<CellTaskKey, std::uint32_t>> stopped; ///< Runs that were stopped or have ended.
+    /** Capacity before it shrank, which a start may still count on until formerCapacityUntil. */
+    Resources formerCapacity;
+    Time formerCapacityUntil {};
     bool listed = true; ///< Contained in the simulated list of targets.
     bool reachable = true; ///< Orders and answers are delivered.
     bool alive = true; ///< If false, the target runs nothing and never answers.
