--- a/src/loop_load.cpp
+++ b/src/loop_load.cpp
@@ -20,7 +20,8 @@
 {
     const Duration turn = std::max(ended - began, Duration(0));
     if (m_lastTurnEndedAt != Time {})
-        m_lag -= std::chrono::duration_cast<Duration>(m_lag * weightOf(std::max(began - m_lastTurnEndedAt, Duration(0))));
+        m_lag
+            -= std::chrono::duration_cast<Duration>(m_lag * weightOf(std::max(began - m_lastTurnEndedAt, Duration(0))));
     m_lag += std::chrono::duration_cast<Duration>((turn - m_lag) * weightOf(turn));
     m_lastTurnEndedAt = ended;
     m_report.busy += turn;
--- a/tests/test_entry_node.cpp
+++ b/tests/test_entry_node.cpp
@@ -62,9 +62,7 @@
             cell.services = { { ServiceId("s"), false, false } };
             return std::optional(cell);
         };
-        hooks.listTargets = [this](std::function<void(TargetList)> done) {
-            lists.push_back(std::move(done));
-        };
+        hooks.listTargets = [this](std::function<void(TargetList)> done) { lists.push_back(std::move(done)); };
         hooks.callTarget = [this](const TargetRef& target, const TargetOrder& order, TargetReply reply) {
             orders.push_back({ target, order, std::move(reply) });
         };
