Fix: a target that answers again under its id no longer counts as replaced (BUDGET)

Found when reading the change: 'replaced' is set when another incarnation answers at a target's address. If the target itself reports later, for instance born anew under the same id, runs lost to mere silence would have counted as crashes.

--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -372,6 +372,7 @@
     reconcileRuns(*target, report, order.sentAt, now);
     settleLostRuns(*target, now); // The target has either crashed or was only silent.
     target->heardBeforeSilence = {};
+    target->replaced = false;
     stopStalledRuns(*target, now);
     adjustPaces(*target, now);
     target->nextLookAt = now + (report.ended.empty() ? std::chrono::milliseconds(0) : reportPause);
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -50,7 +50,7 @@
     bool alone = false; ///< The run has had the target for itself since its start.
 };
 
-/** A run that was given up because the lease of its silent target was over. */
+/** What a crash of a target has to know of a run there that had begun and ended without a report. */
 struct LostRun {
     CellTaskKey task;
     CalendarTime bornAt {}; ///< As Occupant::bornAt.
