--- a/tests/test_target_directory.cpp
+++ b/tests/test_target_directory.cpp
@@ -25,7 +25,7 @@
     TargetDirectoryHooks hooks()
     {
         TargetDirectoryHooks hooks;
-        hooks.read = [this](StoreRange&& range, std::function<void(StoreReply &&)> reply) {
+        hooks.read = [this](StoreRange&& range, const std::function<void(StoreReply &&)>& reply) {
             calls.emplace_back([this, range, reply] {
                 StoreReply page;
                 page.status = up ? StoreStatus::Ok : StoreStatus::Lost;
@@ -42,7 +42,7 @@
                 reply(std::move(page));
             });
         };
-        hooks.changes = [this](StoreWatch&& watch, std::function<void(StoreWatchReply &&)> reply) {
+        hooks.changes = [this](StoreWatch&& watch, const std::function<void(StoreWatchReply &&)>& reply) {
             calls.emplace_back([this, watch, reply] {
                 StoreWatchReply answer;
                 answer.status = up ? StoreStatus::Ok : StoreStatus::Lost;
