--- a/src/cell_owner_crashes.cpp
+++ b/src/cell_owner_crashes.cpp
@@ -171,7 +171,7 @@
     return best;
 }
 
-/** Ends reservations that no task needs any more, and forgets runs that were lost long ago. */
+/** Ends reservations that no task needs any more. A lasting task shares its target again once it is proven. */
 void CellOwner::releaseStaleReservations(Time now)
 {
     for (auto it = m_reservations.begin(); it != m_reservations.end();) {
