--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -371,7 +371,7 @@
 
     zones = ["pnw-west-a", "pnw-west-b", "pnw-west-c"]
 
-    def __init__(self, case, entries=3, minions=6, advised=False):
+    def __init__(self, case, entries=3, minions=6, advised=False, sizes=(1.0, 1.0, 0.5, 2.0)):
         self.advised = advised
         self.folder = Path(tempfile.mkdtemp(prefix="sp-review-"))
         self.record = Record(Path(case) / "record.txt")
@@ -383,10 +383,9 @@
         self.world.checkpoint = lambda step, task, done: f"{step}@{int(done)}"
         self.world.progress = lambda saved: int(saved.rpartition("@")[2]) if saved else 0
         self.entries = [Entry(self, index) for index in range(entries)]
-        # Sizes as in sites/crpud-kits.toml: 1.0, 1.0, 0.5 and 2.0 times 16 cores and 32 GB.
-        sizes = [1.0, 1.0, 0.5, 2.0]
-        self.minions = [self.minion(f"mn{index}", index, cpu=int(16000 * sizes[index % 4]),
-                                    mem=int(32768 * sizes[index % 4])) for index in range(minions)]
+        # As in sites/crpud-kits.toml: by default 1.0, 1.0, 0.5 and 2.0 times 16 cores and 32 GB.
+        self.minions = [self.minion(f"mn{index}", index, cpu=int(16000 * sizes[index % len(sizes)]),
+                                    mem=int(32768 * sizes[index % len(sizes)])) for index in range(minions)]
         self.tasks, self.version = [], 0
 
     def minion(self, ident, index, **more):
