--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -228,7 +228,11 @@
                 if (!task.done) {
                     outTask.set_target(task.recordedTarget.value);
                     outTask.set_target_born_ms(task.recordedBornAt.time_since_epoch().count());
+                    outTask.set_target_machine(task.recordedMachine.value);
+                    outTask.set_begun(task.begun);
+                    outTask.set_alone(task.alone);
                     outTask.set_crashes(task.crashes);
+                    outTask.set_crashes_alone(task.crashesAlone);
                     outTask.set_suspect(task.suspect);
                     outTask.set_checkpoint(task.checkpoint);
                 }
@@ -278,7 +282,11 @@
                 task.done = inTask.done();
                 task.recordedTarget = TargetId(inTask.target());
                 task.recordedBornAt = CalendarTime(ms(inTask.target_born_ms()));
+                task.recordedMachine = MachineId(inTask.target_machine());
+                task.begun = inTask.begun();
+                task.alone = inTask.alone();
                 task.crashes = inTask.crashes();
+                task.crashesAlone = inTask.crashes_alone();
                 task.suspect = inTask.suspect();
                 task.checkpoint = inTask.checkpoint();
                 step.done += task.done ? 1 : 0;
--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -20,13 +20,17 @@
 struct TaskState {
     std::uint32_t run = 0; ///< Highest run number that was ever used in a start order.
     std::uint32_t failures = 0; ///< Number of runs that ended through a fault of the task or of its target.
-    std::uint32_t crashes = 0; ///< Number of targets that crashed soon after they had started a run of this task.
-    bool suspect = false; ///< May be the cause of the last of these crashes; its next run gets a target for itself.
+    std::uint32_t crashes = 0; ///< Number of targets that crashed under a run of this task.
+    std::uint32_t crashesAlone = 0; ///< Those of them on which the run certainly was at the crash, and alone.
+    bool suspect = false; ///< May be the cause of a crash; its next run gets a target for itself.
+    bool begun = false; ///< The target has confirmed the current run, and its end without a report would be a crash.
+    bool alone = false; ///< The current run has its target for itself.
     bool done = false;
     CellTarget* target = nullptr; ///< Target to which the current run was assigned; null if the task has none or the
                                   ///< target is unknown.
     TargetId recordedTarget; ///< Target of the current run as stored in the record; set even if that target is unknown.
     CalendarTime recordedBornAt {}; ///< Start time of that target's incarnation, to which the run was assigned.
+    MachineId recordedMachine; ///< Machine of that target.
     std::string checkpoint; ///< Most recent checkpoint.
     std::set<TargetId> avoid; ///< Targets on which a run of this task failed or made no progress.
     Time waitingSince {}; ///< Time since which the task has been waiting for a target.
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -234,6 +234,7 @@
     void sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     void beginStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, const char* reason, Time now);
     void sendStopOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant);
+    bool withdrawIfSilent(CellTarget& target, const CellTaskKey& key, Time now);
     bool withdrawIfShrunk(CellTarget& target, const CellTaskKey& key, Time now);
     void sendDueOrders(CellTarget& target, Time now);
     void releaseRun(CellTarget& target, const CellTaskKey& key, const char* reason, Time now);
@@ -256,7 +257,18 @@
     void releaseEndedIncarnation(CellTarget& target, const char* reason, Time now);
 
     // Tasks that crash their targets.
+    enum class CrashEvidence : std::uint8_t {
+        None, ///< The target may have crashed before the run began, or after its end.
+        Likely, ///< The run was probably there, but it may have been otherwise.
+        Certain, ///< The run was there.
+    };
     static bool hasCrashed(const CellTarget& target, CalendarTime assignedTo);
+    static CrashEvidence crashEvidence(const LostRun& run, Time now);
+    static Time leaseHeldUntil(const CellTarget& target);
+    static bool heardRecently(const CellTarget& target, Time now);
+    static bool awaitsAnswerBeforeStart(const CellTarget& target, const Occupant& occupant, Time now);
+    void forgetBegunRuns(CellTarget& target, Time now);
+    void markBegun(const CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     static std::optional<LostRun> describeLostRun(
         const CellTarget& target, const CellTaskKey& key, const Occupant& occupant, Time now);
     void countCrash(const CellTarget& target, const LostRun& run, Time now);
--- a/src/cell_owner_crashes.cpp
+++ b/src/cell_owner_crashes.cpp
@@ -8,12 +8,14 @@
 
 namespace {
 
+    /** A target that has answered this shortly before the start of a run was hardly down at that start. */
+    constexpr std::chrono::milliseconds recentAnswer { 100 };
     /** A target that answers this long after the start of a run has not crashed because of that start. */
     constexpr std::chrono::milliseconds startSurvived { 300 };
     /** A run of this age is no likelier to have crashed its target than any other cause. */
     constexpr std::chrono::seconds maxAgeAtCrash { 10 };
-    /** With the last crash while the task had the target for itself. */
-    constexpr std::uint32_t crashesForVerdict = 2;
+    /** Crashes while the task certainly ran and had the target for itself. */
+    constexpr std::uint32_t aloneCrashesForVerdict = 2;
     /** Whatever ran beside the task. Bounds the harm of a task that crashes its targets only after a while. */
     constexpr std::uint32_t maxCrashes = 4;
     constexpr std::uint32_t maxGangCrashes
@@ -29,32 +31,85 @@
 /** Returns whether the incarnation of a target to which a run was assigned has ended without having been drained. */
 bool CellOwner::hasCrashed(const CellTarget& target, CalendarTime assignedTo)
 {
-    // A target from the records that is not registered any more has ended before this owner began.
-    const bool endedBefore = !target.listed && target.heardAt == Time {};
     return assignedTo != CalendarTime {} && assignedTo != target.drainedBornAt
-        && (target.replaced || target.latestBornAt() > assignedTo || endedBefore);
+        && (target.replaced || target.latestBornAt() > assignedTo);
 }
 
-/** Returns what a crash of the target has to know of a run there; nothing if the run cannot have begun. */
+/** Notes that a target has confirmed a run, so that a crash from now on happens under the task. */
+void CellOwner::markBegun(const CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now)
+{
+    CellJob* job = findOpenJob(key.job);
+    TaskState* task = job ? job->task(key) : nullptr;
+    if (std::exchange(occupant.begun, true) || !task || task->run != occupant.run
+        || target.drainedBornAt == occupant.bornAt)
+        return;
+    task->begun = true;
+    if (task->suspect) // The next owner has to count the crash that may follow at once.
+        markDirty(*job, now, saveBatchDelay);
+}
+
+/** Takes the runs on a draining target for no evidence, as it will end without a crash. */
+void CellOwner::forgetBegunRuns(CellTarget& target, Time now)
+{
+    for (auto& [key, occupant] : target.occupants) {
+        CellJob* job = findOpenJob(key.job);
+        TaskState* task = job ? job->task(key) : nullptr;
+        if (!task || task->target != &target || !std::exchange(task->begun, false))
+            continue;
+        if (task->suspect)
+            markDirty(*job, now, lazySaveDelay);
+    }
+}
+
+/** Returns the time until which the lease that a target has certainly received keeps its runs. */
+Time CellOwner::leaseHeldUntil(const CellTarget& target)
+{
+    return target.clockSeenAt == Time {} ? Time {} : target.clockReaches(target.leaseAnswered);
+}
+
+/** Returns what a crash of the target has to know of a run there; nothing if the run cannot be its cause. */
 std::optional<LostRun> CellOwner::describeLostRun(
     const CellTarget& target, const CellTaskKey& key, const Occupant& occupant, Time now)
 {
-    const bool begun = occupant.phase == RunPhase::Ordered ? occupant.unsure || occupant.orderOpen
-                                                           : occupant.phase != RunPhase::Recording;
+    const bool ordered = occupant.begun || occupant.phase == RunPhase::Recovered
+        || (occupant.phase == RunPhase::Ordered ? occupant.unsure || occupant.orderOpen
+                                                : occupant.phase != RunPhase::Recording);
     // The next incarnation may already have answered an order for this one.
     const Time lastHeard = target.heardBeforeSilence != Time {} ? target.heardBeforeSilence : target.heardAt;
-    if (!begun || lastHeard - occupant.startedAt > maxAgeAtCrash)
+    if (!ordered || lastHeard - occupant.startedAt > maxAgeAtCrash)
         return std::nullopt;
+    LostRun lost;
+    lost.task = key;
+    lost.run = occupant.run;
+    lost.bornAt = occupant.bornAt;
+    lost.begun = occupant.begun;
+    lost.heardBeforeStart = occupant.heardBeforeStart;
     // A run of a former owner may have lasted for long; only the return of its target shows that it has crashed.
-    const bool startedLast = occupant.phase == RunPhase::Recovered ? target.listed || target.replaced
-                                                                   : lastHeard - occupant.startedAt < startSurvived;
-    return LostRun { key, occupant.bornAt, startedLast, occupant.alone, now };
+    lost.startedLast = occupant.phase == RunPhase::Recovered || lastHeard - occupant.startedAt < startSurvived;
+    lost.alone = occupant.alone;
+    // A run that was ordered to stop may have ended, and how long a former owner's lease lasts is not known.
+    if (occupant.begun && occupant.phase != RunPhase::Recovered && occupant.phase != RunPhase::Stopping)
+        lost.heldUntil = occupant.heldUntil != Time {} ? occupant.heldUntil : leaseHeldUntil(target);
+    lost.lostAt = now;
+    return lost;
 }
 
 /**
- * Counts the crash of a target for a task of which a run had begun there. Most such tasks only had bad luck. One that
- * was started just before the crash, or was hit before, is a suspect: its next run gets a target for itself. If that
- * target crashes too, the task is the cause, and its job fails, as each further run would crash a target with all the
+ * Decides how far the crash of its target is evidence against a task. A start that was never answered shows nothing if
+ * the target may have been down already, and a run whose lease may have ended was possibly not there any more.
+ * @param now Time at which the crash became known.
+ */
+CellOwner::CrashEvidence CellOwner::crashEvidence(const LostRun& run, Time now)
+{
+    if (run.begun && now < run.heldUntil)
+        return CrashEvidence::Certain;
+    return run.startedLast && (run.begun || run.heardBeforeStart) ? CrashEvidence::Likely : CrashEvidence::None;
+}
+
+/**
+ * Counts the crash of a target for a task that was at work there. Most such tasks only had bad luck. One that was
+ * started just before the crash, or was hit before, is a suspect: its next run gets a target for itself. If two such
+ * targets crash too, the task is the cause, and its job fails, as each further run would crash a target with all the
  * work on it.
  */
 void CellOwner::countCrash(const CellTarget& target, const LostRun& run, Time now)
@@ -63,28 +118,48 @@
     TaskState* task = findOpenTask(run.task);
     if (!task || task->done)
         return;
-    ++task->crashes;
-    task->suspect = run.startedLast || run.alone || task->crashes > 1;
-    m_crashesCounted.add();
+    const CrashEvidence evidence = crashEvidence(run, now);
+    const bool alone = run.alone && evidence == CrashEvidence::Certain;
+    task->crashes += evidence == CrashEvidence::None ? 0 : 1;
+    task->crashesAlone += alone ? 1 : 0;
+    task->suspect |= run.startedLast || alone || task->crashes > 1;
     markDirty(*job, now, lazySaveDelay);
-    LogLine(LogLevel::Warning, "target_crashed")
+    LogLine(LogLevel::Warning, evidence == CrashEvidence::None ? "crash_not_counted" : "target_crashed")
         .with("task", taskText(run.task))
-        .with("run", task->run)
+        .with("run", run.run)
         .with("target", target.id())
         .with("crashes", task->crashes)
+        .with("crashes_alone", task->crashesAlone)
+        .with("begun", run.begun)
+        .with("held_its_lease", now < run.heldUntil)
+        .with("heard_before_start", run.heardBeforeStart)
         .with("started_last", run.startedLast)
         .with("alone", run.alone);
+    if (evidence == CrashEvidence::None)
+        return;
+    m_crashesCounted.add();
     const bool gang = findStepSpec(run.task)->gang;
-    if (!(run.alone && task->crashes >= crashesForVerdict) && task->crashes < (gang ? maxGangCrashes : maxCrashes))
+    const bool guilty = task->crashesAlone >= aloneCrashesForVerdict;
+    if (!guilty && task->crashes < (gang ? maxGangCrashes : maxCrashes))
         return;
     m_tasksGivenUp.add();
     LogLine(LogLevel::Warning, "task_given_up")
         .with("task", taskText(run.task))
         .with("crashes", task->crashes)
-        .with("reason", run.alone ? "crashed a target that it had for itself" : "too many targets crashed under it");
+        .with("crashes_alone", task->crashesAlone)
+        .with("reason", guilty ? "crashed targets that it had for itself" : "too many targets crashed under it");
     finishJob(*job, JobState::Failed, now);
 }
 
+/** Returns whether a target has answered so recently that it is hardly down. */
+bool CellOwner::heardRecently(const CellTarget& target, Time now) { return now - target.heardAt <= recentAnswer; }
+
+/** Returns whether the run waits for an answer of its target, which shows that the target is up just before. */
+bool CellOwner::awaitsAnswerBeforeStart(const CellTarget& target, const Occupant& occupant, Time now)
+{
+    return occupant.phase == RunPhase::Ordered && occupant.alone && occupant.tries == 0 && !heardRecently(target, now);
+}
+
 /** Counts a crash for the runs that were given up while the target was silent, now that it has turned out to be one. */
 void CellOwner::settleLostRuns(CellTarget& target, Time now)
 {
@@ -130,6 +205,7 @@
     std::erase_if(options, [&](const PlacementOption& option) { return option.target == target; });
     assignTask(job, key, *target, now);
     target->occupants.at(key).alone = true;
+    job.task(key)->alone = true;
     return AlonePlacement::Placed;
 }
 
@@ -184,6 +260,7 @@
         if (running && task && run->second.lasting && run->second.phase == RunPhase::Running
             && target->heardAt - run->second.startedAt > lastingRunProven) {
             run->second.alone = false;
+            task->alone = false;
             task->suspect = false;
         }
         const bool waiting = task && task->waiting() && task->suspect && target && target->usable(now)
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -268,6 +268,9 @@
     task.target = &target;
     task.recordedTarget = target.id();
     task.recordedBornAt = target.latestBornAt();
+    task.recordedMachine = target.entry.machine;
+    task.begun = false;
+    task.alone = false;
     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recording, now);
     occupant.bornAt = task.recordedBornAt;
     target.occupy(key, occupant);
@@ -288,7 +291,11 @@
         it->second.since = m_eventTime;
         it->second.startedAt = m_eventTime;
         it->second.retryAt = m_eventTime;
-        if (!withdrawIfShrunk(*found, key, m_eventTime) && m_mayOrder && found->reported)
+        if (withdrawIfShrunk(*found, key, m_eventTime) || !m_mayOrder || !found->reported)
+            return;
+        if (awaitsAnswerBeforeStart(*found, it->second, m_eventTime))
+            scheduleReport(*found, m_eventTime);
+        else
             sendStartOrder(*found, key, it->second, m_eventTime);
     });
 }
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -54,6 +54,16 @@
         --task->run;
 }
 
+/** Withdraws a run that waits for its target to answer, since the target has fallen silent. @return True if so. */
+bool CellOwner::withdrawIfSilent(CellTarget& target, const CellTaskKey& key, Time now)
+{
+    const auto run = target.occupants.find(key);
+    if (run == target.occupants.end() || !target.silent() || !awaitsAnswerBeforeStart(target, run->second, now))
+        return false;
+    handleRefusedStart(target, key, "the target does not answer", now);
+    return true;
+}
+
 /** Withdraws a placement of which no order was sent yet, if the target has shrunk since. @return True if so. */
 bool CellOwner::withdrawIfShrunk(CellTarget& target, const CellTaskKey& key, Time now)
 {
@@ -85,7 +95,11 @@
         order.ticket = it->second.ticket;
     order.leaseUntil = target.clockAtLeast(now) + leaseDuration();
     target.leaseSent = std::max(target.leaseSent, order.leaseUntil);
-    ++occupant.tries;
+    if (++occupant.tries == 1) {
+        occupant.startedAt = now;
+        occupant.leaseOrdered = order.leaseUntil;
+        occupant.heardBeforeStart = heardRecently(target, now);
+    }
     occupant.orderOpen = true;
     m_startOrders.add();
     m_hooks.start(target, order);
@@ -136,6 +150,10 @@
         .with("result", orderResultName(answer.result))
         .with("try", occupant.tries);
     recordCallOutcome(*target, answer.result);
+    if (answer.result == OrderResult::Done) {
+        target->leaseAnswered = std::max(target->leaseAnswered, occupant.leaseOrdered);
+        markBegun(*target, key, occupant, now);
+    }
     if (occupant.phase != RunPhase::Ordered) {
         // The run was marked for stopping while the start was in flight; the stop order may be sent now.
         occupant.retryAt = now;
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -126,7 +126,8 @@
         target.leavesAt = {};
         return;
     }
-    target.drainedBornAt = entry.bornAt;
+    if (std::exchange(target.drainedBornAt, entry.bornAt) != entry.bornAt)
+        forgetBegunRuns(target, now);
     if (target.leavesAt != Time {})
         return; // Keeps the first deadline: leavesIn counts from the time the entry was written.
     target.leavesAt = now + entry.leavesIn.value_or(m_bounds.drain);
@@ -161,6 +162,9 @@
     LogLine(LogLevel::Warning, "target_restarted").with("target", target.id()).with("runs", target.occupants.size());
     if (target.heardBeforeSilence == Time {})
         target.heardBeforeSilence = target.heardAt;
+    const Time heldUntil = leaseHeldUntil(target);
+    for (auto& [key, occupant] : target.occupants)
+        occupant.heldUntil = heldUntil;
     target.reported = false;
     target.endsSeen = 0;
     target.endsAcknowledged = 0;
@@ -168,6 +172,7 @@
     target.clockSeenAt = {};
     target.clock = {};
     target.leaseSent = {};
+    target.leaseAnswered = {};
     // Lease times on the former clock cannot be compared with the new one, so the longest lease is assumed.
     target.lapsesBy = now + m_bounds.maxHold + clockMargin;
     target.badEnds = 0;
@@ -276,7 +281,9 @@
         target.occupants.begin(), target.occupants.end(), [](const auto& entry) { return entry.second.serves; });
     const bool filled = std::any_of(
         target.occupants.begin(), target.occupants.end(), [](const auto& entry) { return entry.second.fills; });
-    if (target.reported && !target.occupants.empty() && !target.silent())
+    const bool answerAwaited = std::any_of(target.occupants.begin(), target.occupants.end(),
+        [&](const auto& entry) { return awaitsAnswerBeforeStart(target, entry.second, now); });
+    if (target.reported && !target.occupants.empty() && !target.silent() && !answerAwaited)
         order.wait = std::min({ serving && filled ? tailLatencyReportWait : reportWait,
             m_lossRate > lossyThreshold ? lossyReportWait : reportWait, m_bounds.maxWait });
     target.lookOpen = true;
@@ -314,9 +321,11 @@
 /** Sends the orders that are due to a target, and notes whether further ones may become due. */
 void CellOwner::sendDueOrders(CellTarget& target, Time now)
 {
-    if (target.overcommitted()) {
-        for (const CellTaskKey& key : target.tasksWhere([](const CellTaskKey&, const Occupant&) { return true; }))
-            withdrawIfShrunk(target, key, now);
+    if (target.overcommitted() || target.silent()) {
+        for (const CellTaskKey& key : target.tasksWhere([](const CellTaskKey&, const Occupant&) { return true; })) {
+            if (!withdrawIfSilent(target, key, now))
+                withdrawIfShrunk(target, key, now);
+        }
     }
     for (auto& [key, occupant] : target.occupants) {
         const bool confirmed = occupant.confirmedAt != Time {} || occupant.phase == RunPhase::Running;
@@ -324,7 +333,9 @@
         if (confirmed || occupant.orderOpen || now < occupant.retryAt)
             continue;
         // The lease end is a time on the target's clock, which is unknown until the first report.
-        if (occupant.phase == RunPhase::Ordered && target.reported)
+        if (awaitsAnswerBeforeStart(target, occupant, now))
+            scheduleReport(target, now);
+        else if (occupant.phase == RunPhase::Ordered && target.reported)
             sendStartOrder(target, key, occupant, now);
         else if (occupant.phase == RunPhase::Stopping)
             sendStopOrder(target, key, occupant);
@@ -356,6 +367,7 @@
     if (target->silent())
         LogLine(LogLevel::Info, "target_back").with("target", id);
     target->sawClock(report.clock, now);
+    target->leaseAnswered = std::max(target->leaseAnswered, order.leaseUntil.value_or(std::chrono::milliseconds(0)));
     target->reportedBornAt = report.bornAt;
     target->endsAcknowledged = std::max(target->endsAcknowledged, order.endsAcknowledged);
     if (!target->reported) {
@@ -512,6 +524,7 @@
             occupant.unsure = false;
             occupant.progressAt = now;
             markRunning(row.task.job);
+            markBegun(target, row.task, occupant, now);
         }
         if (occupant.confirmedAt == Time {} && occupant.phase == RunPhase::Running)
             occupant.confirmedAt = now;
--- a/src/cell_recovery.cpp
+++ b/src/cell_recovery.cpp
@@ -60,10 +60,15 @@
                     // The run may still be active until the target's report or the end of its lease shows otherwise.
                     const StepSpec& spec = job.spec.steps[s];
                     CellTarget& target = findOrAddTarget(task.recordedTarget);
+                    target.entry.machine = task.recordedMachine;
+                    target.entry.bornAt = std::max(target.entry.bornAt, task.recordedBornAt);
                     task.target = &target;
                     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recovered, now);
                     occupant.bornAt = task.recordedBornAt;
                     occupant.startedAt = now;
+                    occupant.begun = task.begun;
+                    occupant.alone = task.alone;
+                    occupant.heardBeforeStart = task.alone; // By the rule of awaitsAnswerBeforeStart().
                     const CellTaskKey key { id, number, s, i };
                     target.occupy(key, occupant);
                     ++runs;
--- a/src/cell_target.cpp
+++ b/src/cell_target.cpp
@@ -42,6 +42,14 @@
     return clock + std::chrono::milliseconds(static_cast<std::int64_t>(std::max(0.0, minElapsed.count())));
 }
 
+/** Returns the earliest time at which the target's clock may show a reading, by its last known one. */
+Time CellTarget::clockReaches(std::chrono::milliseconds reading) const
+{
+    // A clock reading is older than its answer.
+    constexpr std::chrono::milliseconds maxAnswerDelay { 300 };
+    return clockSeenAt + (reading - clock) - maxAnswerDelay;
+}
+
 /**
  * Records an answer from the target.
  * @param reading Reading of the target's clock in the answer.
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -48,14 +48,23 @@
     CalendarTime bornAt {}; ///< Start time of the target's incarnation to which the run was assigned.
     Time startedAt {}; ///< Time of the first start order, or of the take-over for a recovered run.
     bool alone = false; ///< The run has had the target for itself since its start.
+    bool begun = false; ///< The target has confirmed the run, to this owner or to a former one.
+    bool heardBeforeStart = false; ///< The target had answered just before the first start order was sent.
+    std::chrono::milliseconds leaseOrdered { 0 }; ///< Lease expiry in the first start order, on the target's clock.
+    /** As LostRun::heldUntil; set when the target has restarted under its id and its former clock is forgotten. */
+    Time heldUntil {};
 };
 
-/** What a crash of a target has to know of a run there that had begun and ended without a report. */
+/** What a crash of a target has to know of a run there that ended without a report. */
 struct LostRun {
     CellTaskKey task;
+    std::uint32_t run = 0;
     CalendarTime bornAt {}; ///< As Occupant::bornAt.
+    bool begun = false; ///< As Occupant::begun.
+    bool heardBeforeStart = false; ///< As Occupant::heardBeforeStart.
     bool startedLast = false; ///< The target was not heard again after the start of the run.
     bool alone = false; ///< As Occupant::alone.
+    Time heldUntil {}; ///< The run cannot have lapsed before this time; unset if that is not known.
     Time lostAt {};
 };
 
@@ -82,6 +91,7 @@
     std::chrono::milliseconds clock { 0 }; ///< Highest reading of the target's clock that was received with an answer.
     Time clockSeenAt {}; ///< Time at which that reading was received; unset if there is none.
     std::chrono::milliseconds leaseSent { 0 }; ///< Latest lease expiry sent with an order, on the target's clock.
+    std::chrono::milliseconds leaseAnswered { 0 }; ///< Latest of them whose order the target has answered.
     Time lapsesBy {}; ///< Time by which all leases granted by former owners have expired.
 
     // Reports.
@@ -125,6 +135,7 @@
     /** Returns whether the runs need more than the capacity, which has shrunk since they were placed. */
     bool overcommitted() const { return !used.fitsIn(entry.capacity); }
     std::chrono::milliseconds clockAtLeast(Time now) const;
+    Time clockReaches(std::chrono::milliseconds reading) const;
     void sawClock(std::chrono::milliseconds reading, Time now);
     bool lapsed(Time now) const;
     /** Returns whether the target has left several consecutive orders unanswered. */
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -68,6 +68,8 @@
     std::function<bool(const CellTaskKey&)> crashesTarget;
     Duration crashDelay { 10ms }; ///< Time from the start of such a task to the crash.
     Duration restartDelay { 3500ms }; ///< Time from a crash until the next incarnation of the target is listed.
+    /** Returns whether the answer to the start order of a task is lost. */
+    std::function<bool(const CellTaskKey&)> losesAnswerOf;
     bool restartKeepsId = false; ///< The next incarnation has the id of the one that crashed.
     std::map<CellTaskKey, int> crashesUnder; ///< Number of targets that crashed while they ran a task.
     int lapsedRuns = 0; ///< Runs that ended since nobody renewed their lease.
@@ -320,6 +322,7 @@
             if (restartKeepsId) {
                 restartTarget(former);
                 former.alive = true;
+                former.reachable = true;
                 return;
             }
             former.listed = false;
@@ -331,6 +334,9 @@
         });
     }
 
+    /** Schedules an event, whichever owner is active then. */
+    void later(Duration delay, std::function<void()> event) { schedule(delay, std::move(event)); }
+
     std::unique_ptr<CellOwner> owner;
     std::unique_ptr<AdviceBroker> broker; ///< Set if advisorHosts is not 0.
     std::unique_ptr<RecordLog> log;
@@ -565,7 +571,9 @@
                     reply = { start(receiver, order), clockOf(receiver) };
                     if (reply.result == OrderResult::NotSent)
                         reply.clock.reset(); // The order did not reach the target.
-                    if (receiver.loseStarts > 0 || losesNextAnswer()) {
+                    if (losesAnswerOf && losesAnswerOf(order.task)) {
+                        reply = { OrderResult::Lost, {} };
+                    } else if (receiver.loseStarts > 0 || losesNextAnswer()) {
                         receiver.loseStarts = std::max(1, receiver.loseStarts);
                         --receiver.loseStarts;
                         reply = { OrderResult::Lost, {} };
--- a/tests/test_cell_faults.cpp
+++ b/tests/test_cell_faults.cpp
@@ -3,7 +3,6 @@
 #include "cell_world.h"
 #include "log_func.h"
 
-#include <cstdlib>
 #include <random>
 
 using namespace sp;
@@ -200,13 +199,6 @@
     }
 };
 
-/** Returns a number from the environment, which selects further scenarios in manual runs. */
-unsigned numberFromEnvironment(const char* name, unsigned defaultValue)
-{
-    const char* text = std::getenv(name);
-    return text ? static_cast<unsigned>(std::strtoul(text, nullptr, 10)) : defaultValue;
-}
-
 } // namespace
 
 // To run further scenarios: CELL_SEED=1000 CELL_DAYS=500 build/test_cell_faults
