--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -72,6 +72,7 @@
 /** Returns the state of an occurrence and creates it if it does not exist yet. */
 OccurrenceState& CellJob::beginOccurrence(std::uint32_t number)
 {
+    occurrencesBegun = std::max(occurrencesBegun, number + 1);
     const auto [it, added] = occurrences.try_emplace(number);
     if (added) {
         it->second.steps.resize(spec.steps.size());
@@ -212,6 +213,7 @@
     record.set_state(static_cast<std::uint32_t>(job.state));
     record.set_begun(job.begun);
     record.set_occurrences_ended(job.occurrencesEnded);
+    record.set_occurrences_begun(job.occurrencesBegun);
     record.set_accepted_ms(job.acceptedAt.time_since_epoch().count());
     if (isFinal(job.state))
         return record.SerializeAsString();
@@ -260,6 +262,8 @@
     job.stored = true;
     job.begun = record.begun();
     job.occurrencesEnded = record.occurrences_ended();
+    // A record of an earlier version has only the count of ended ones.
+    job.occurrencesBegun = std::max(record.occurrences_begun(), record.occurrences_ended());
     job.acceptedAt = CalendarTime(ms(record.accepted_ms()));
     if (isFinal(job.state))
         return true;
--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -84,6 +84,8 @@
     bool stored = false; ///< The store holds a record of the job.
     bool begun = false; ///< At least one task has started.
     std::map<std::uint32_t, OccurrenceState> occurrences; ///< Occurrences that have begun and have not ended.
+    /** Occurrences begin in the order of their numbers: those with a lower number have begun, the others have not. */
+    std::uint32_t occurrencesBegun = 0;
     std::uint32_t occurrencesEnded = 0; ///< All occurrences with a lower number have ended.
     Time submittedAt {};
     CalendarTime acceptedAt {};
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -287,11 +287,8 @@
 void CellOwner::beginDueOccurrences(CellJob& job, Time now)
 {
     const CalendarTime calendar = m_hooks.calendar();
-    for (std::uint32_t number = job.occurrencesEnded; number < job.occurrenceCount(); ++number) {
-        if (job.dueAt(number) > calendar)
-            return;
-        if (job.occurrences.contains(number))
-            continue;
+    while (job.occurrencesBegun < job.occurrenceCount() && job.dueAt(job.occurrencesBegun) <= calendar) {
+        const std::uint32_t number = job.occurrencesBegun;
         LogLine(LogLevel::Info, "occurrence_due").with("job", job.spec.id).with("occurrence", number);
         markReadySteps(job, job.beginOccurrence(number), now);
         m_dispatchDue = true;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -53,6 +53,7 @@
     std::function<std::int64_t(const CellTaskKey&)> gaugeOf = [](const CellTaskKey&) { return 0; };
     CellConfig config;
     CellBounds bounds;
+    std::chrono::milliseconds calendarOffset { 0 }; ///< Added to the wall-clock time of the owner's host.
     int superseded = 0; ///< Number of times that the owner found a newer owner.
     Time staleListUntil {}; ///< Until this time, the owner receives the list of targets as it was last read.
     Duration lateOrderDelay { 3s }; ///< Delay of orders that are carried out late.
@@ -334,6 +335,11 @@
         });
     }
 
+    CalendarTime calendarNow() const
+    {
+        return CalendarTime(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()));
+    }
+
     /** Schedules an event, whichever owner is active then. */
     void later(Duration delay, std::function<void()> event) { schedule(delay, std::move(event)); }
 
@@ -633,9 +639,7 @@
         };
         hooks.flush = [this](Time deadline) { log->requestFlush(deadline); };
         hooks.superseded = [this](const std::string&) { ++superseded; };
-        hooks.calendar = [this] {
-            return CalendarTime(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()));
-        };
+        hooks.calendar = [this] { return calendarNow() + calendarOffset; };
         return hooks;
     }
 
