Fix: an occurrence that fell due as another one ended never ran, and its job was completed (MIXED)

Cause: when an occurrence ended, every number that was due and not at work counted as ended. By the same loop a job never ended at all if the time of day was set back while its last occurrence was at work, as that one was not due any more when it ended (LOST).

An occurrence is over now if it has begun and is not in progress, and the job is completed when all have begun and none is in progress. The clock decides about the beginning only. The record still has the number of ended occurrences for a host of an earlier version that takes the cell over.

--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -111,6 +111,9 @@
     return std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [](const auto& s) { return s.complete(); });
 }
 
+/** Returns whether each occurrence has begun and none is in progress. */
+bool CellJob::allOccurrencesEnded() const { return occurrencesBegun == occurrenceCount() && occurrences.empty(); }
+
 /**
  * Computes the length of the critical path of a job from the estimates of its steps.
  * @param steps Steps; each depends on earlier ones only.
@@ -212,7 +215,8 @@
     record.set_queue(job.spec.queue.value);
     record.set_state(static_cast<std::uint32_t>(job.state));
     record.set_begun(job.begun);
-    record.set_occurrences_ended(job.occurrencesEnded);
+    // For a host of an earlier version that takes the cell over.
+    record.set_occurrences_ended(job.occurrences.empty() ? job.occurrencesBegun : job.occurrences.begin()->first);
     record.set_occurrences_begun(job.occurrencesBegun);
     record.set_accepted_ms(job.acceptedAt.time_since_epoch().count());
     if (isFinal(job.state))
@@ -261,7 +265,6 @@
     job.shownState = job.state;
     job.stored = true;
     job.begun = record.begun();
-    job.occurrencesEnded = record.occurrences_ended();
     // A record of an earlier version has only the count of ended ones.
     job.occurrencesBegun = std::max(record.occurrences_begun(), record.occurrences_ended());
     job.acceptedAt = CalendarTime(ms(record.accepted_ms()));
--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -86,7 +86,6 @@
     std::map<std::uint32_t, OccurrenceState> occurrences; ///< Occurrences that have begun and have not ended.
     /** Occurrences begin in the order of their numbers: those with a lower number have begun, the others have not. */
     std::uint32_t occurrencesBegun = 0;
-    std::uint32_t occurrencesEnded = 0; ///< All occurrences with a lower number have ended.
     Time submittedAt {};
     CalendarTime acceptedAt {};
     /** Maximum time from submission to completion at which the job still has its full value. */
@@ -121,6 +120,7 @@
     StepState* step(const StepKey& key);
     bool stepReady(const OccurrenceState& occurrence, std::size_t step) const;
     bool occurrenceComplete(const OccurrenceState& occurrence) const;
+    bool allOccurrencesEnded() const;
 };
 
 std::chrono::milliseconds longestChain(const std::vector<StepSpec>& steps, std::chrono::milliseconds perStep);
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -43,11 +43,7 @@
     if (!job.occurrenceComplete(occurrence))
         return;
     job.occurrences.erase(key.occurrence);
-    while (job.occurrencesEnded < job.occurrenceCount()
-        && (!job.timed() || job.dueAt(job.occurrencesEnded) <= m_hooks.calendar())
-        && !job.occurrences.contains(job.occurrencesEnded))
-        ++job.occurrencesEnded;
-    if (job.occurrencesEnded >= job.occurrenceCount())
+    if (job.allOccurrencesEnded())
         finishJob(job, JobState::Completed, now);
 }
 
--- a/tests/test_cell_occurrences.cpp
+++ b/tests/test_cell_occurrences.cpp
@@ -59,6 +59,83 @@
     }
 };
 
+/** Random jobs with times beside new owners, steps of the time of day and lost answers; no run is ever lost. */
+struct RandomOccurrences : OccurrenceTest {
+    explicit RandomOccurrences(unsigned seed)
+        : OccurrenceTest(8)
+        , m_random(seed)
+    {
+        lengthOf = [this](const CellTaskKey& key) {
+            // Whole multiples of the interval end just as the next occurrence falls due.
+            const auto spread = std::hash<CellTaskKey>()(key) % 7;
+            return Duration(spread < 4 ? m_intervals.at(key.job.value) * static_cast<int>(spread + 1) / 2
+                                       : std::chrono::milliseconds(50 + 90 * spread));
+        };
+    }
+
+    void play()
+    {
+        std::map<std::string, std::size_t> tasksOf;
+        for (int i = 0; i < 12; ++i) {
+            const std::string id = "job" + std::to_string(i);
+            const auto tasks = static_cast<std::uint32_t>(1 + below(3));
+            const auto occurrences = static_cast<std::uint32_t>(1 + below(12));
+            m_intervals[id] = std::chrono::milliseconds(80 + below(700));
+            tasksOf[id] = std::size_t { tasks } * occurrences;
+            submitTimed(id, tasks, occurrences, m_intervals[id]);
+            for (int j = 0; j < 5; ++j) {
+                runAndCheck(std::chrono::milliseconds(20 + below(400)), tasksOf);
+                disrupt();
+            }
+        }
+        runAndCheck(40s, tasksOf);
+        for (const auto& [id, tasks] : tasksOf) {
+            // An owner that was replaced before it answered has not accepted the job.
+            if (const auto answer = answers.find(JobId(id));
+                answer != answers.end() && answer->second == JobAnswer::Kind::Ok)
+                checkRanOnce(id, tasks);
+        }
+    }
+
+private:
+    int below(int limit) { return std::uniform_int_distribution<int>(0, limit - 1)(m_random); }
+
+    void disrupt()
+    {
+        switch (below(8)) {
+        case 0:
+            takeOver();
+            break;
+        case 1:
+            calendarOffset = std::chrono::milliseconds(below(4000) - 2000);
+            break;
+        case 2:
+            loseStoreAnswers = 1;
+            break;
+        default:
+            break;
+        }
+    }
+
+    /** Checks every 20 ms that no job is shown as completed while some of its tasks have not run. */
+    void runAndCheck(Duration duration, const std::map<std::string, std::size_t>& tasksOf)
+    {
+        for (const Time end = now + duration; now < end;) {
+            run(20ms);
+            for (const auto& [id, tasks] : tasksOf) {
+                if (state(id) == "completed" && m_completed.insert(id).second) {
+                    CHECK(startsByTask(id).size() == tasks);
+                    CHECK(running(id) == 0);
+                }
+            }
+        }
+    }
+
+    std::mt19937 m_random;
+    std::map<std::string, std::chrono::milliseconds> m_intervals;
+    std::set<std::string> m_completed;
+};
+
 } // namespace
 
 // Guards against TWICE: an occurrence that ended before an earlier one was forgotten and began anew.
@@ -113,3 +190,51 @@
     run(15s);
     checkRanOnce("job", 15);
 }
+
+// Guards against MIXED: an occurrence that fell due since the last sweep counted as ended when the one before it ended.
+TEST_CASE_FIXTURE(OccurrenceTest, "an occurrence that falls due as the one before it ends runs as well")
+{
+    for (int offset = -40; offset <= 8; offset += 2) {
+        const std::string id = "job" + std::to_string(offset + 100);
+        lengthOf = [offset](const CellTaskKey&) { return Duration(std::chrono::milliseconds(700 + offset)); };
+        submitTimed(id, 2, 6, 700ms);
+        run(15s);
+        checkRanOnce(id, 12);
+    }
+}
+
+// Guards against MIXED: a job was shown as completed before its last occurrence had begun.
+TEST_CASE_FIXTURE(
+    OccurrenceTest, "a job is completed only after its last occurrence, also if the owner is slow to begin it")
+{
+    ownerItemCost = 15ms; // The occurrence falls due during a turn of the owner.
+    for (int i = 0; i < 12; ++i) {
+        lengthOf = [i](const CellTaskKey&) { return Duration(std::chrono::milliseconds(600 + 8 * i)); };
+        const std::string id = "job" + std::to_string(i);
+        submitTimed(id, 1, 4, 700ms);
+        run(20s);
+        checkRanOnce(id, 4);
+    }
+}
+
+// Guards against LOST: a job never ended if the time of day was set back before its last occurrence had ended.
+TEST_CASE_FIXTURE(OccurrenceTest, "a job ends after its last occurrence although the time of day has been set back")
+{
+    submitTimed("job", 2, 3, 700ms);
+    run(2600ms); // The last occurrence is at work.
+    REQUIRE(startsOf("job") == 6);
+    calendarOffset = -std::chrono::hours(1);
+    run(5s);
+    checkRanOnce("job", 6);
+}
+
+// To play further seeds: CELL_SEED=1000 CELL_DAYS=500 build/test_cell_occurrences
+TEST_CASE("each task of a job with times runs once, and the job is completed after the last of them")
+{
+    const unsigned first = numberFromEnvironment("CELL_SEED", 1);
+    const unsigned seeds = numberFromEnvironment("CELL_DAYS", 25);
+    for (unsigned seed = first; seed < first + seeds; ++seed) {
+        CAPTURE(seed);
+        RandomOccurrences(seed).play();
+    }
+}
