Fix: numbers and addresses out of range in an entry of another writer were believed

An operator of a similar system reported that one odd entry made the readers of the list end or stop following it. Neither happens here, but entries with a port of 99999, ids and addresses with line breaks, and numbers past 64 bits were read as targets; converting such numbers is undefined. The log line of an unreadable entry held all of what the parser failed at.

Cause: the decoders checked types, not values. A job with a run_count of -1 is refused now instead of running 4,294,967,295 times.

--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -76,8 +76,10 @@
             }
             for (const StoreKeyValue& item : answer.changes.puts)
                 put(item);
-            for (const std::string& key : answer.changes.deletes)
+            for (const std::string& key : answer.changes.deletes) {
                 remove(key);
+                m_unreadableKeys.erase(key);
+            }
             m_revision = std::max(m_revision, answer.changes.revision);
             reply(entries());
         });
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -4,6 +4,9 @@
 #include "error_func.h"
 #include "wire.h"
 
+#include <algorithm>
+#include <map>
+
 using namespace sp;
 using namespace sp::platform;
 using namespace std::chrono_literals;
@@ -97,6 +100,95 @@
     CHECK_FALSE(static_cast<bool>(decodeTarget(id, odd)));
 }
 
+// Guards against numbers that do not fit their types, and addresses and ids that change the call they become a part of.
+TEST_CASE("an entry with a number out of range, a malformed address or nested too deeply names no target")
+{
+    const auto entryWith = [](const std::string& field, const std::string& value) {
+        std::map<std::string, std::string> fields { { "service", R"("s")" }, { "address", R"("10.0.0.1:8080")" },
+            { "zone", R"("z")" }, { "state", R"("ready")" }, { "labels", R"(["a","r1"])" }, { "machine", R"("m")" },
+            { "free_resources", R"({"cpu":16000,"mem_mb":100,"gpus":0})" }, { "born", "17" } };
+        fields[field] = value;
+        std::string body;
+        for (const auto& [name, text] : fields) {
+            body += body.empty() ? "{\"" : ",\"";
+            body += name;
+            body += "\":";
+            body += text;
+        }
+        return body + "}";
+    };
+    const auto readable = [](const std::string& body, const std::string& id = "i1") {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<bool> {
+                BOOST_LEAF_CHECK(decodeTarget(TargetId(id), body));
+                return true;
+            },
+            [](const ErrorDetail& detail) {
+                CHECK(detail.text.size() <= 200);
+                CHECK(std::all_of(detail.text.begin(), detail.text.end(), [](char c) { return c >= ' ' && c <= '~'; }));
+                return false;
+            },
+            [] { return false; });
+    };
+    CHECK(readable(entryWith("version", R"("v1")")));
+    const std::string depth(200000, '[');
+    const std::string close(200000, ']');
+    const std::string digits(300000, '9');
+    std::string deepObject;
+    for (int i = 0; i < 150000; ++i)
+        deepObject += R"({"a":)";
+    const std::vector<std::pair<std::string, std::string>> odd { { "address", R"("10.0.0.1:99999")" },
+        { "address", R"("10.0.0.1:65536")" }, { "address", R"("10.0.0.1:0")" }, { "address", R"("10.0.0.1:-1")" },
+        { "address", R"("10.0.0.1:")" }, { "address", R"("10.0.0.1")" }, { "address", R"(":8080")" },
+        { "address", R"("")" }, { "address", R"("10.0.0.1:80/x?y=1:80")" }, { "address", R"("a b:80")" },
+        { "address", R"("a\r\nX: y:80")" }, { "address", "null" }, { "address", "17" }, { "born", "1e300" },
+        { "born", "-1" }, { "born", "99999999999999999999" }, { "born", digits }, { "born", R"("17")" },
+        { "born", "null" }, { "born", "true" }, { "born", depth + close }, { "free_resources", "[]" },
+        { "free_resources", "null" }, { "free_resources", R"({"cpu":1e300})" }, { "free_resources", R"({"cpu":-1})" },
+        { "free_resources", R"({"cpu":18446744073709551615})" }, { "free_resources", R"({"mem_mb":true})" },
+        { "free_resources", R"({"gpus":1e400})" }, { "free_resources", "{\"cpu\":" + digits + "}" },
+        { "free_resources", deepObject + "1" + std::string(150000, '}') }, { "labels", depth + close },
+        { "labels", "[1]" }, { "machine", "[]" }, { "machine", "\"\xff\xfe\"" }, { "remaining_ms", "1e19" },
+        { "remaining_ms", R"("soon")" }, { "state", R"("READY")" }, { "zone", "{}" } };
+    for (const auto& entry : odd) {
+        const std::string text = entry.first + ": " + entry.second.substr(0, 40);
+        CAPTURE(text);
+        if (entry.first == "free_resources" && entry.second.starts_with(R"({"a")"))
+            CHECK(readable(entryWith(entry.first, entry.second))); // Fields with unknown names are passed over.
+        else
+            CHECK_FALSE(readable(entryWith(entry.first, entry.second)));
+    }
+    for (const std::string& body : { depth, depth + close, digits, std::string("null"), std::string(),
+             std::string("\xff\xfe"), entryWith("version", R"("v1")").substr(0, 60) })
+        CHECK_FALSE(readable(body));
+    for (const char* id : { "", "a b", "a\r\nX-Header: y", "\xc3\xa9" })
+        CHECK_FALSE(readable(entryWith("version", R"("v1")"), id));
+}
+
+TEST_CASE("numbers that do not fit are errors in all bodies")
+{
+    for (const char* steps :
+        { R"([{"task_count":-1}])", R"([{"task_count":4294967296}])", R"([{"task_count":1e30}])",
+            R"([{"task_count":1.5}])", R"([{"task_count":1,"cpu":1e300}])", R"([{"task_count":1,"estimate_ms":1e300}])",
+            R"([{"task_count":1,"after":[-1]}])", R"([{"task_count":1,"after":0}])" }) {
+        CAPTURE(steps);
+        CHECK_FALSE(static_cast<bool>(decodeJob(std::string(R"({"spec":"p","steps":)") + steps + "}")));
+    }
+    const std::string step = R"("steps":[{"task_count":4.0}])";
+    CHECK(static_cast<bool>(decodeJob("{" + step + "}")));
+    for (const char* field :
+        { R"("run_count":-1)", R"("run_count":5e9)", R"("start_at_ms":1e300)", R"("interval_ms":1e19)" }) {
+        CAPTURE(field);
+        CHECK_FALSE(static_cast<bool>(decodeJob("{" + step + "," + field + "}")));
+    }
+    CHECK_FALSE(static_cast<bool>(decodeReport(R"({"clock_ms":1e300,"running":[],"finished":[]})")));
+    CHECK_FALSE(static_cast<bool>(decodeReport(R"({"clock_ms":1,"running":[["a.0.0.0",-1,"",0]],"finished":[]})")));
+    CHECK_FALSE(static_cast<bool>(decodeReport(R"({"clock_ms":1,"running":[["a.0.0.0",1,"",1e30]],"finished":[]})")));
+    CHECK_FALSE(
+        static_cast<bool>(decodeReport(R"({"clock_ms":1,"running":[],"finished":[[-1,"a.0.0.0",1,"done",""]]})")));
+    CHECK_FALSE(decodeOrderAnswer(200, R"({"clock_ms":1e300})").clock.has_value());
+}
+
 TEST_CASE("a report lists runs and ends, and an unknown name is an error")
 {
     leaf::try_handle_all(
