--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -81,6 +81,7 @@
     m_recordRemovals.clear();
     m_targets.clear();
     m_targetList.reset();
+    m_incarnationsChanged = false;
     m_reservations.clear();
     m_usableTargets.clear();
     m_reachability.clear();
@@ -603,6 +604,7 @@
         withdrawUnsavedJobs(now);
     if (now - m_lastSweepAt >= sweepInterval) {
         m_lastSweepAt = now;
+        releaseFormerIncarnations(now);
         for (auto it = m_targets.begin(); it != m_targets.end();) {
             maintainTarget(*it->second, now);
             const CellTarget& target = *it->second;
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -254,6 +254,7 @@
     void updateDrainDeadline(CellTarget& target, const TargetEntry& entry, Time now);
     void evacuateTarget(CellTarget& target, Time now);
     void beginIncarnation(CellTarget& target, Time now);
+    void releaseFormerIncarnations(Time now);
     void releaseEndedIncarnation(CellTarget& target, const char* reason, Time now);
 
     // Tasks that crash their targets.
@@ -327,7 +328,8 @@
     std::map<TargetId, std::unique_ptr<CellTarget>> m_targets;
     std::uint32_t m_lastTargetSerial = 0;
     std::map<CellTaskKey, TargetId> m_reservations; ///< Targets that suspects have, or will have, for themselves.
-    TargetList m_targetList; ///< The list that was last processed completely; null if another one may have an effect.
+    TargetList m_targetList; ///< The list that was last processed; null if processing it again may have an effect.
+    bool m_incarnationsChanged = false; ///< Some runs may belong to incarnations that have been replaced.
     /** Targets that may get new work, by service; determined when needed and valid until the next sweep. */
     std::map<ServiceId, std::vector<CellTarget*>> m_usableTargets;
     /** Moving average of the share of targets that the advisor allows, by queue. */
--- a/src/cell_owner_crashes.cpp
+++ b/src/cell_owner_crashes.cpp
@@ -32,7 +32,7 @@
 bool CellOwner::hasCrashed(const CellTarget& target, CalendarTime assignedTo)
 {
     return assignedTo != CalendarTime {} && assignedTo != target.drainedBornAt
-        && (target.replaced || target.latestBornAt() > assignedTo);
+        && (target.replaced || target.reportedBornAt > assignedTo);
 }
 
 /** Notes that a target has confirmed a run, so that a crash from now on happens under the task. */
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -263,7 +263,7 @@
     ++task.run;
     task.target = &target;
     task.recordedTarget = target.id();
-    task.recordedBornAt = target.latestBornAt();
+    task.recordedBornAt = target.reportedBornAt != CalendarTime {} ? target.reportedBornAt : target.entry.bornAt;
     task.recordedMachine = target.entry.machine;
     task.begun = false;
     task.alone = false;
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -75,7 +75,6 @@
     m_eventTime = now;
     m_targetList = settled ? list : nullptr;
     std::set<TargetId> listed;
-    std::map<MachineId, CellTarget*> latestByMachine; ///< Latest registered incarnation on each machine.
     for (const TargetEntry& entry : *list) {
         listed.insert(entry.id);
         CellTarget& target = findOrAddTarget(entry.id);
@@ -96,20 +95,9 @@
                 .with("used_milli", target.used.coresMilli);
         target.entry = entry;
         target.listed = true;
-        if (entry.machine.empty())
-            continue;
-        if (CellTarget*& latest = latestByMachine[entry.machine]; !latest || latest->entry.bornAt < entry.bornAt)
-            latest = &target;
     }
+    m_incarnationsChanged = true;
     for (auto& [id, target] : m_targets) {
-        const auto latest = latestByMachine.find(target->entry.machine);
-        if (latest != latestByMachine.end() && latest->second != target.get()
-            && target->entry.bornAt < latest->second->entry.bornAt) {
-            markReplaced(*target, now);
-            releaseEndedIncarnation(*target, "a later incarnation runs on its machine", now);
-            if (!target->occupants.empty()) // The next list releases the others.
-                m_targetList.reset();
-        }
         if (settled && target->listed && !listed.contains(id)) {
             target->listed = false;
             LogLine(LogLevel::Warning, "target_missing").with("target", id).with("runs", target->occupants.size());
@@ -119,6 +107,31 @@
     wakeBy(now);
 }
 
+/**
+ * Releases the runs of incarnations that a later one on their machine has replaced. An entry alone is no evidence for
+ * it, as it may come from another writer: the later incarnation must have reported.
+ */
+void CellOwner::releaseFormerIncarnations(Time now)
+{
+    if (!std::exchange(m_incarnationsChanged, false))
+        return;
+    std::unordered_map<std::string, CalendarTime> latestByMachine; ///< Start time of the latest incarnation on each.
+    for (const auto& [id, target] : m_targets) {
+        if (target->listed && !target->entry.machine.empty()) {
+            CalendarTime& latest = latestByMachine[target->entry.machine.value];
+            latest = std::max(latest, target->reportedBornAt);
+        }
+    }
+    for (auto& [id, target] : m_targets) {
+        const auto latest = latestByMachine.find(target->entry.machine.value);
+        if (latest == latestByMachine.end() || target->latestBornAt() >= latest->second)
+            continue;
+        markReplaced(*target, now);
+        releaseEndedIncarnation(*target, "a later incarnation runs on its machine", now);
+        m_incarnationsChanged |= !target->occupants.empty(); // The next sweep releases the others.
+    }
+}
+
 /** Sets the time at which a draining target may disappear, or clears it if the target does not drain. */
 void CellOwner::updateDrainDeadline(CellTarget& target, const TargetEntry& entry, Time now)
 {
@@ -369,6 +382,7 @@
         LogLine(LogLevel::Info, "target_back").with("target", id);
     target->sawClock(report.clock, now);
     target->leaseAnswered = std::max(target->leaseAnswered, order.leaseUntil.value_or(std::chrono::milliseconds(0)));
+    m_incarnationsChanged |= target->reportedBornAt != report.bornAt;
     target->reportedBornAt = report.bornAt;
     target->endsAcknowledged = std::max(target->endsAcknowledged, order.endsAcknowledged);
     if (!target->reported) {
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -656,6 +656,12 @@
                 schedule(order.wait + longPollMargin, reportLost);
                 return;
             }
+            if (target.answersForAnother) {
+                scheduleForOwner(1ms, [this, id, order] {
+                    owner->onReport(id, order, { OrderResult::OtherLife, {} }, {}, now);
+                });
+                return;
+            }
             if (order.token < target.token) {
                 scheduleForOwner(1ms, [this, id, order] {
                     owner->onReport(id, order, { OrderResult::Fenced, clockOf(targets.at(id)) }, {}, now);
--- a/tests/cell_world_type.h
+++ b/tests/cell_world_type.h
@@ -40,6 +40,7 @@
     bool listed = true; ///< Contained in the simulated list of targets.
     bool reachable = true; ///< Orders and answers are delivered.
     bool alive = true; ///< If false, the target runs nothing and never answers.
+    bool answersForAnother = false; ///< Another target has its address, which answers no call to this one.
     bool failsAll = false; ///< Each run fails shortly after its start.
     bool standsStill = false; ///< Runs make no progress.
     int loseStarts = 0; ///< Number of start orders that will be carried out without an answer.
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -120,8 +120,8 @@
     const auto readable = [](const std::string& body, const std::string& id = "i1") {
         return leaf::try_handle_all(
             [&]() -> leaf::result<bool> {
-                BOOST_LEAF_CHECK(decodeTarget(TargetId(id), body));
-                return true;
+                BOOST_LEAF_AUTO(entry, decodeTarget(TargetId(id), body));
+                return entry.id == TargetId(id);
             },
             [](const ErrorDetail& detail) {
                 CHECK(detail.text.size() <= 200);
