Fix: a data centre stayed closed to new work while its targets were idle and up

Tasks that could run in one data centre only waited for good: five calls without an answer had made it suspect, and no further call could be answered, since idle targets get none. One crashed target in an idle data centre was enough, or entries of another writer under which nothing answers.

Targets that have never answered this owner say nothing about their data centre now, and while one is suspect, all its listed targets are asked for reports.

Evidence: two tests of test_cell_entries, one for each form, fail before (no start) and pass here.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -605,6 +605,8 @@
     if (now - m_lastSweepAt >= sweepInterval) {
         m_lastSweepAt = now;
         releaseFormerIncarnations(now);
+        m_dataCentreSuspect = std::any_of(
+            m_reachability.begin(), m_reachability.end(), [](const auto& entry) { return entry.second.suspect(); });
         for (auto it = m_targets.begin(); it != m_targets.end();) {
             maintainTarget(*it->second, now);
             const CellTarget& target = *it->second;
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -336,6 +336,7 @@
     std::map<QueueId, double> m_allowedShare;
     std::map<TargetId, std::vector<AdviceClaim>> m_adviceClaims; ///< Claims of questions that are not answered yet.
     std::map<DataCentreId, DataCentreReachability> m_reachability;
+    bool m_dataCentreSuspect = false; ///< Some data centre does not answer; determined in each sweep.
     double m_lossRate = 0; ///< Moving average of the share of calls to targets that get no answer.
     bool m_dispatchDue = false;
     Time m_lastDispatchAt {};
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -249,15 +249,19 @@
 void CellOwner::recordCallOutcome(CellTarget& target, OrderResult result)
 {
     const bool answered = result != OrderResult::Lost && result != OrderResult::NotSent;
-    DataCentreReachability& reachability = m_reachability[target.entry.dataCentre];
-    if (answered) {
-        if (reachability.suspect())
-            LogLine(LogLevel::Info, "data_centre_answers").with("data_centre", target.entry.dataCentre);
-        reachability.unanswered = 0;
-    } else if (++reachability.unanswered == DataCentreReachability::suspectAfterCalls) {
-        LogLine(LogLevel::Warning, "data_centre_silent").with("data_centre", target.entry.dataCentre);
+    const bool everAnswered = answered || target.heardAt != Time {}; // An entry of another writer names no target.
+    if (everAnswered) {
+        DataCentreReachability& reachability = m_reachability[target.entry.dataCentre];
+        if (answered) {
+            if (reachability.suspect())
+                LogLine(LogLevel::Info, "data_centre_answers").with("data_centre", target.entry.dataCentre);
+            reachability.unanswered = 0;
+        } else if (++reachability.unanswered == DataCentreReachability::suspectAfterCalls) {
+            LogLine(LogLevel::Warning, "data_centre_silent").with("data_centre", target.entry.dataCentre);
+        }
     }
-    if (!target.silent()) // Calls to targets known to be silent would distort the loss rate of the others.
+    if (everAnswered
+        && !target.silent()) // Calls to targets known to be silent would distort the loss rate of the others.
         m_lossRate += lossRateWeight * ((answered ? 0.0 : 1.0) - m_lossRate);
     target.missedAnswer |= !answered;
     if (!answered && ++target.unanswered == CellTarget::silentAfterCalls) {
@@ -327,7 +331,9 @@
     if (std::exchange(target.mayHaveOpenOrders, false))
         sendDueOrders(target, now);
     const bool endsToAcknowledge = target.endsSaved() > target.endsAcknowledged;
-    const bool needed = !target.reported || !target.occupants.empty() || endsToAcknowledge || target.silent();
+    // Without a call to its idle targets, a data centre would stay suspect after the target that was down is gone.
+    const bool probed = m_dataCentreSuspect && target.listed && !dataCentreReachable(target);
+    const bool needed = !target.reported || !target.occupants.empty() || endsToAcknowledge || target.silent() || probed;
     if (!target.lookOpen && now >= target.nextLookAt && needed)
         requestReport(target, now);
 }
--- a/tests/test_cell_entries.cpp
+++ b/tests/test_cell_entries.cpp
@@ -147,6 +147,49 @@
     CHECK(violations == std::vector<std::string> {});
 }
 
+// Guards against work that waits for good since entries of another writer made its data centre seem unreachable.
+TEST_CASE_FIXTURE(ForeignEntryTest, "entries under which nothing answers do not close their data centre")
+{
+    for (auto& [id, target] : targets) {
+        const bool near = id <= TargetId("t3");
+        target.entry.dataCentre = DataCentreId(near ? "near" : "far");
+        target.entry.labels = { near ? "near" : "far", "r" };
+    }
+    for (int i = 1; i <= 3; ++i)
+        addForeignEntry("x" + std::to_string(i), TargetId("t" + std::to_string(i)));
+    run(10s);
+    StepSpec spec = step(3, 2000);
+    spec.requiredLabel = "near";
+    submitTo("job", QueueId("q"), { spec });
+    run(1s);
+    CHECK(startsOf("job") == 3);
+}
+
+// Guards against work that waits for good since a target that was down made its idle data centre seem unreachable.
+TEST_CASE_FIXTURE(ForeignEntryTest, "an idle data centre in which one target is down stays open")
+{
+    restartDelay = 60s;
+    for (auto& [id, target] : targets) {
+        const bool near = id <= TargetId("t3");
+        target.entry.dataCentre = DataCentreId(near ? "near" : "far");
+        target.entry.labels = { near ? "near" : "far", "r" };
+    }
+    StepSpec spec = step(1, 2000);
+    spec.requiredLabel = "near";
+    run(1s);
+    submitTo("first", QueueId("q"), { spec });
+    run(1s);
+    for (int i = 1; i <= 3; ++i) {
+        const TargetId id("t" + std::to_string(i));
+        if (!targets.at(id).runs.empty())
+            crash(id);
+    }
+    run(20s);
+    submitTo("job", QueueId("q"), { spec });
+    run(500ms);
+    CHECK(startsOf("job") == 1);
+}
+
 // To play further seeds: CELL_SEED=1000 CELL_DAYS=500 build/test_cell_entries
 TEST_CASE("entries of another writer that come and go change nothing for the jobs")
 {
