Fix: a job was accepted for the capacity that an entry without a target claims

A job that fits no target was accepted and waited for good if an entry of another writer claimed a capacity that would hold it. What can't be served has to be rejected at once. A capacity counts now only if its target has answered this owner, but for the first two seconds of an ownership, in which healthy targets answer for the first time.

Evidence: "a job that fits only what a target that never answered claims is refused" in test_cell_entries fails before.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -181,18 +181,22 @@
 }
 
 /**
- * Checks whether a job is valid and fits the capacity of the listed targets of its service.
+ * Checks whether a job is valid and fits the capacity of the listed targets of its service. What an entry claims counts
+ * only if its target has answered.
  * @return Reason for a refusal, nothing if the job may run or no target of the service is listed.
  */
-std::optional<std::string> CellOwner::refusalReason(const CellJobSpec& spec) const
+std::optional<std::string> CellOwner::refusalReason(const CellJobSpec& spec, Time now) const
 {
+    /** A target that exists has answered a new owner within this time, unless it is down. */
+    constexpr std::chrono::seconds maxFirstAnswerTime { 2 };
+    const bool allAnswered = now - m_ownedSince > maxFirstAnswerTime;
     if (auto problem = jobSpecProblem(spec))
         return problem;
     bool known = false;
     for (const StepSpec& step : spec.steps) {
         std::uint64_t places = 0;
         for (const auto& [id, target] : m_targets) {
-            if (!target->listed || target->entry.service != spec.service)
+            if (!target->listed || target->entry.service != spec.service || (allAnswered && target->heardAt == Time {}))
                 continue;
             known = true;
             if (mayEverRun(*target, step))
@@ -237,7 +241,7 @@
         reply({ JobAnswer::Kind::Refused, overloadRetryAfter(spec.id), "the owner is overloaded" });
         return;
     }
-    if (const auto reason = refusalReason(spec)) {
+    if (const auto reason = refusalReason(spec, now)) {
         m_jobsRefused.add();
         LogLine(LogLevel::Info, "job_refused").with("job", spec.id).with("queue", spec.queue).with("reason", *reason);
         reply({ JobAnswer::Kind::Refused, unplaceableJobRetry, *reason });
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -225,7 +225,7 @@
     void handleRefusedStart(CellTarget& target, const CellTaskKey& key, const char* reason, Time now);
     void removeExpiredJobs(Time now);
     bool isUnattended(const CellTaskKey& key, const TaskState& task, const StepState& step, Time now) const;
-    std::optional<std::string> refusalReason(const CellJobSpec& spec) const;
+    std::optional<std::string> refusalReason(const CellJobSpec& spec, Time now) const;
     static std::chrono::milliseconds overloadRetryAfter(const JobId& id);
 
     // Targets and orders.
--- a/tests/test_cell_entries.cpp
+++ b/tests/test_cell_entries.cpp
@@ -190,6 +190,19 @@
     CHECK(startsOf("job") == 1);
 }
 
+// Guards against a job that is accepted for the capacity that an entry of another writer claims, and waits for good.
+TEST_CASE_FIXTURE(ForeignEntryTest, "a job that fits only what a target that never answered claims is refused")
+{
+    addForeignEntry("x", TargetId("t1")).entry.service = ServiceId("s");
+    targets.at(TargetId("x")).entry.capacity = { 1000000000, 1000000000, 1000 };
+    run(3s);
+    submitTo("large", QueueId("q"), { step(1, 100000) });
+    submitTo("small", QueueId("q"), { step(1, 2000) });
+    run(1s);
+    CHECK(answers[JobId("large")] == JobAnswer::Kind::Refused);
+    CHECK(answers[JobId("small")] == JobAnswer::Kind::Ok);
+}
+
 // To play further seeds: CELL_SEED=1000 CELL_DAYS=500 build/test_cell_entries
 TEST_CASE("entries of another writer that come and go change nothing for the jobs")
 {
