--- a/src/cell_owner_crashes.cpp
+++ b/src/cell_owner_crashes.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    /** A target that has answered this shortly before the start of a run was hardly down at that start. */
+    /** A target that has answered this shortly before the start of a run is unlikely to have been down at that start.
+     */
     constexpr std::chrono::milliseconds recentAnswer { 100 };
     /** A target that answers this long after the start of a run has not crashed because of that start. */
     constexpr std::chrono::milliseconds startSurvived { 300 };
@@ -48,7 +49,7 @@
         markDirty(*job, now, saveBatchDelay);
 }
 
-/** Takes the runs on a draining target for no evidence, as it will end without a crash. */
+/** Clears the confirmations of the runs on a draining target, whose end is not a crash. */
 void CellOwner::forgetBegunRuns(CellTarget& target, Time now)
 {
     for (auto& [key, occupant] : target.occupants) {
@@ -151,10 +152,13 @@
     finishJob(*job, JobState::Failed, now);
 }
 
-/** Returns whether a target has answered so recently that it is hardly down. */
+/** Returns whether a target has answered so recently that it is unlikely to be down. */
 bool CellOwner::heardRecently(const CellTarget& target, Time now) { return now - target.heardAt <= recentAnswer; }
 
-/** Returns whether the run waits for an answer of its target, which shows that the target is up just before. */
+/**
+ * Returns whether the start order of a run has to wait for an answer of the target. If a target that had just answered
+ * falls silent after the start, the run is likely the cause, also if the start was never confirmed.
+ */
 bool CellOwner::awaitsAnswerBeforeStart(const CellTarget& target, const Occupant& occupant, Time now)
 {
     return occupant.phase == RunPhase::Ordered && occupant.alone && occupant.tries == 0 && !heardRecently(target, now);
