Codechange: the wait for an answer before a start is decided where the start is sent

Both callers of sendStartOrder() had the same branch. No change of behaviour: test_cell_crash, _owner, _faults, _entries, _load and _occurrences pass.

--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -287,11 +287,7 @@
         it->second.since = m_eventTime;
         it->second.startedAt = m_eventTime;
         it->second.retryAt = m_eventTime;
-        if (withdrawIfShrunk(*found, key, m_eventTime) || !m_mayOrder || !found->reported)
-            return;
-        if (awaitsAnswerBeforeStart(*found, it->second, m_eventTime))
-            scheduleReport(*found, m_eventTime);
-        else
+        if (!withdrawIfShrunk(*found, key, m_eventTime) && m_mayOrder && found->reported)
             sendStartOrder(*found, key, it->second, m_eventTime);
     });
 }
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -79,6 +79,10 @@
 /** Sends a start order. A retry after a lost answer has the same run number, so the target runs it once. */
 void CellOwner::sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now)
 {
+    if (awaitsAnswerBeforeStart(target, occupant, now)) {
+        scheduleReport(target, now);
+        return;
+    }
     CellJob* job = findOpenJob(key.job);
     const TaskState* task = job ? job->task(key) : nullptr;
     if (!task || occupant.tries >= maxStartAttempts) {
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -353,9 +353,7 @@
         if (confirmed || occupant.orderOpen || now < occupant.retryAt)
             continue;
         // The lease end is a time on the target's clock, which is unknown until the first report.
-        if (awaitsAnswerBeforeStart(target, occupant, now))
-            scheduleReport(target, now);
-        else if (occupant.phase == RunPhase::Ordered && target.reported)
+        if (occupant.phase == RunPhase::Ordered && target.reported)
             sendStartOrder(target, key, occupant, now);
         else if (occupant.phase == RunPhase::Stopping)
             sendStopOrder(target, key, occupant);
