--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -93,10 +93,11 @@
                 .with("memory_mb", entry.capacity.memoryMb)
                 .with("before_milli", target.entry.capacity.coresMilli)
                 .with("used_milli", target.used.coresMilli);
+        m_incarnationsChanged
+            |= !target.listed || target.entry.machine != entry.machine || target.entry.bornAt != entry.bornAt;
         target.entry = entry;
         target.listed = true;
     }
-    m_incarnationsChanged = true;
     for (auto& [id, target] : m_targets) {
         if (settled && target->listed && !listed.contains(id)) {
             target->listed = false;
@@ -115,15 +116,15 @@
 {
     if (!std::exchange(m_incarnationsChanged, false))
         return;
-    std::unordered_map<std::string, CalendarTime> latestByMachine; ///< Start time of the latest incarnation on each.
+    std::map<MachineId, CalendarTime> latestByMachine; ///< Start time of the latest incarnation on each.
     for (const auto& [id, target] : m_targets) {
         if (target->listed && !target->entry.machine.empty()) {
-            CalendarTime& latest = latestByMachine[target->entry.machine.value];
+            CalendarTime& latest = latestByMachine[target->entry.machine];
             latest = std::max(latest, target->reportedBornAt);
         }
     }
     for (auto& [id, target] : m_targets) {
-        const auto latest = latestByMachine.find(target->entry.machine.value);
+        const auto latest = latestByMachine.find(target->entry.machine);
         if (latest == latestByMachine.end() || target->latestBornAt() >= latest->second)
             continue;
         markReplaced(*target, now);
