Codechange: tests share the function that reads a number from the environment, and the seeds of cells

It stood three times: in task_test_base.h, cell_world_type.h and test_slot_pool.cpp. The loop over CELL_SEED and CELL_DAYS stood four times.

--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -7,6 +7,7 @@
 #include "advice_broker.h"
 #include "cell_owner.h"
 #include "cell_world_type.h"
+#include "environment_seed.h"
 #include "loop_load.h"
 #include "record_log.h"
 
--- a/tests/cell_world_type.h
+++ b/tests/cell_world_type.h
@@ -3,7 +3,6 @@
 
 #include "cell_type.h"
 
-#include <cstdlib>
 #include <functional>
 #include <map>
 #include <set>
@@ -59,11 +58,4 @@
     Time at {};
 };
 
-/** Returns a number from the environment, which selects further scenarios in manual runs. */
-inline unsigned numberFromEnvironment(const char* name, unsigned defaultValue)
-{
-    const char* text = std::getenv(name);
-    return text ? static_cast<unsigned>(std::strtoul(text, nullptr, 10)) : defaultValue;
-}
-
 } // namespace sp::test
--- a/tests/task_test_base.h
+++ b/tests/task_test_base.h
@@ -1,20 +1,13 @@
 /** @file task_test_base.h Shared fixtures for the tests of task scheduling. */
 #pragma once
 
+#include "environment_seed.h"
 #include "task_scheduler.h"
 
-#include <cstdlib>
 #include <random>
 
 namespace sp::test {
 
-/** Reads a number from an environment variable. @param fallback Value if the variable is not set. */
-inline std::uint64_t numberFromEnvironment(const char* name, std::uint64_t fallback)
-{
-    const char* text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 inline Time at(double seconds)
 {
     return Time {} + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1000 + seconds));
--- a/tests/test_cell_crash.cpp
+++ b/tests/test_cell_crash.cpp
@@ -247,9 +247,7 @@
 // Guards against LOST: crashes that were none under the task added up to a verdict.
 TEST_CASE("a job fails for its crashes only if two targets crashed under one of its tasks")
 {
-    const unsigned first = numberFromEnvironment("CELL_SEED", 1);
-    const unsigned seeds = numberFromEnvironment("CELL_DAYS", 25);
-    for (unsigned seed = first; seed < first + seeds; ++seed) {
+    for (const unsigned seed : cellSeeds(25)) {
         CAPTURE(seed);
         RandomCrashes crashes(seed);
         crashes.play();
--- a/tests/test_cell_entries.cpp
+++ b/tests/test_cell_entries.cpp
@@ -206,9 +206,7 @@
 // To play further seeds: CELL_SEED=1000 CELL_DAYS=500 build/test_cell_entries
 TEST_CASE("entries of another writer that come and go change nothing for the jobs")
 {
-    const unsigned first = numberFromEnvironment("CELL_SEED", 1);
-    const unsigned seeds = numberFromEnvironment("CELL_DAYS", 25);
-    for (unsigned seed = first; seed < first + seeds; ++seed) {
+    for (const unsigned seed : cellSeeds(25)) {
         CAPTURE(seed);
         RandomEntries(seed).play();
     }
--- a/tests/test_cell_faults.cpp
+++ b/tests/test_cell_faults.cpp
@@ -206,11 +206,9 @@
 {
     if (std::getenv("CELL_LOG"))
         startLog("test_cell_faults", LogSink::StandardOutput, 10000000);
-    const unsigned seed = numberFromEnvironment("CELL_SEED", 1);
-    const unsigned scenarioCount = numberFromEnvironment("CELL_DAYS", 12);
-    for (unsigned i = 0; i < scenarioCount; ++i) {
-        CAPTURE(seed + i);
-        RandomScenario scenario(seed + i);
+    for (const unsigned seed : cellSeeds(12)) {
+        CAPTURE(seed);
+        RandomScenario scenario(seed);
         scenario.simulate();
         scenario.checkOutcome();
     }
--- a/tests/test_cell_occurrences.cpp
+++ b/tests/test_cell_occurrences.cpp
@@ -231,9 +231,7 @@
 // To play further seeds: CELL_SEED=1000 CELL_DAYS=500 build/test_cell_occurrences
 TEST_CASE("each task of a job with times runs once, and the job is completed after the last of them")
 {
-    const unsigned first = numberFromEnvironment("CELL_SEED", 1);
-    const unsigned seeds = numberFromEnvironment("CELL_DAYS", 25);
-    for (unsigned seed = first; seed < first + seeds; ++seed) {
+    for (const unsigned seed : cellSeeds(25)) {
         CAPTURE(seed);
         RandomOccurrences(seed).play();
     }
--- a/tests/test_slot_pool.cpp
+++ b/tests/test_slot_pool.cpp
@@ -1,8 +1,8 @@
 #include "doctest_main.h"
 
+#include "environment_seed.h"
 #include "slot_pool.h"
 
-#include <cstdlib>
 #include <map>
 #include <random>
 #include <rapidcheck.h>
@@ -64,13 +64,6 @@
     }
 }
 
-/** Number in the environment or a default. */
-std::uint64_t fromEnvironment(const char* name, std::uint64_t fallback)
-{
-    const char* text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 } // namespace
 
 // Guards against piling requests on one instance while others idle, and against a start without a free slot.
@@ -533,8 +526,8 @@
 // loses one (SP_SEED, SP_STEPS).
 TEST_CASE("random events keep the invariants")
 {
-    const std::uint64_t seed = fromEnvironment("SP_SEED", 1);
-    const std::uint64_t steps = fromEnvironment("SP_STEPS", 100000);
+    const std::uint64_t seed = test::numberFromEnvironment("SP_SEED", 1);
+    const std::uint64_t steps = test::numberFromEnvironment("SP_STEPS", 100000);
     CAPTURE(seed);
     RandomRun run(seed);
     for (std::uint64_t i = 0; i < steps; ++i) {
