review: case 7, jobs of a removed route after a rolling restart

Two routes are removed while jobs of theirs run, then the three hosts are restarted one after the other. The second step of a job whose route had a hint is started without a ticket and never runs; a task whose route had max_attempts 3 is started a fourth time.

--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -317,6 +317,7 @@
         self.by_name = {target.name: target for target in self.targets}
         self.hosts = [Host(self, i, cores) for i in range(hosts)]
         self.version = itertools.count(3, 4)
+        self.services = ["svc"]
         self.record.say("case", Path(case).name, "disruption", "on" if TROUBLE else "off")
 
     @staticmethod
@@ -353,7 +354,7 @@
     async def operator_writes(self, routes):
         version = next(self.version)
         self.store.put("op/config", json.dumps({
-            "version": version, "routes": routes, "services": [{"name": "svc"}],
+            "version": version, "routes": routes, "services": [{"name": name} for name in self.services],
             "limits": {"max_body_bytes": 262144}}).encode())
         await self.store.notify()
         self.record.say("operator writes version", version, "routes", [route["prefix"] for route in routes])
