--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,89 +1,99 @@
-"""Two routes are removed while jobs of theirs run; then the hosts are restarted in turn. See claim.txt."""
+"""One client hands in a job with times whose first time lies a day back. See claim.txt."""
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "standins-2"))
 from platform2 import TROUBLE, World, now, play  # noqa: E402
 
-ADVISED, PLAIN = "a" * 16, "b" * 16  # Jobs of the queue with a hint, and of the one without.
-MAX_ATTEMPTS = 3
-TURN_S = 3.0  # RULES.md, LOST: "for 3 s, a job has nothing running while a task's turn has come".
-PATIENCE_S = 10.0  # Far beyond it, and beyond contact_ms after the last start of a host.
+RUNS, INTERVAL_MS = 1440, 60000  # One run a minute, for a day.
+TARGETS = 48
+TRAFFIC_S, FINISH_S, WATCH_S = 25.0, 14.0, 3.0  # finish_s 14; RULES.md, LOST: "for 3 s, a job has nothing running".
+TASK_S = 0.2
 
 
 class Case(World):
     def __init__(self, case):
-        super().__init__(case)
-        self.runs = {}  # task -> number of runs
-        self.ends = {}  # task -> list of (how, acknowledged)
+        super().__init__(case, targets=TARGETS)
+        self.accepted = {}  # job -> time of the 2xx
+        self.ended = set()  # jobs of one task that has ended
+        self.running = {}  # job -> tasks at work
 
     def needs_ticket(self, task):
-        return task.startswith(ADVISED)
+        return True
 
     def run_begins(self, target, task, number, order):
-        self.runs[task] = self.runs.get(task, 0) + 1
-        if task.startswith(PLAIN):
-            return 11.0, "failed"
-        return (30.0 if task.split(".")[2] == "0" else 0.5), "done"
+        self.running.setdefault(task.split(".")[0], set()).add(task)
+        return TASK_S, "done"
 
     def run_ended(self, target, task, run, how):
         super().run_ended(target, task, run, how)
-        self.ends.setdefault(task, []).append([run["run"], how, False])
+        job = task.split(".")[0]
+        self.running[job].discard(task)
+        if how == "done":
+            self.ended.add(job)
 
-    def check_budget(self):
-        """RULES.md, BUDGET; only ends that were acknowledged count."""
-        task = f"{PLAIN}.0.0.0"
-        failed = sum(1 for end in self.ends.get(task, []) if end[1] == "failed" and end[2])
-        if failed >= MAX_ATTEMPTS and self.runs[task] > MAX_ATTEMPTS:
-            self.record.breaks("BUDGET", f"{task} started {self.runs[task]} times, {failed} runs have ended `failed` and "
-                                         f"are taken note of, max_attempts is {MAX_ATTEMPTS}")
+    def waiting(self):
+        """Accepted jobs of one task that has not ended and does not run."""
+        return {job for job in self.accepted if job not in self.ended and not self.running.get(job)}
 
-    def end_acknowledged(self, target, end):
-        for known in self.ends.get(end[1], []):
-            known[2] |= known[0] == end[2]
+
+async def hand_in(world, path, body, tries=5):
+    """A client: tries again at other hosts, as PROTOCOL.md says, until the job is accepted."""
+    for attempt in range(tries):
+        host = world.hosts[(hash(path) + attempt) % len(world.hosts)]
+        status, _ = await world.call(host, "POST", path, body)
+        if status == 200:
+            return True
+        await asyncio.sleep(0.5)
+    return False
 
 
 async def script(world):
     hint = {"decision_ms": 20, "per_worker_ms": 0.3, "validity_ms": 2000}
-    routes = [world.route("keep", "/keep/"), world.route("advised", "/advised/", hint=hint),
-              world.route("plain", "/plain/")]
-    await world.start(routes)
-    first = world.hosts[0]
-    step = {"task_count": 1, "cpu": 1000, "mem_mb": 500}
-    advised = {"spec": "advised", "steps": [{**step, "estimate_ms": 30000},
-                                            {**step, "task_count": 2, "estimate_ms": 500, "after": [0]}]}
-    plain = {"spec": "plain", "steps": [{**step, "estimate_ms": 11000}]}
-    for path, body in ((f"/advised/{ADVISED}", advised), (f"/plain/{PLAIN}", plain)):
-        status, _ = await world.call(first, "POST", path, body)
-        if status != 200:
-            raise RuntimeError("a job was not accepted")
-    await asyncio.sleep(1)
-    if TROUBLE:
-        await world.operator_writes(routes[:1])
-        await asyncio.sleep(3)  # config_apply_ms is 2,000.
-        for host in world.hosts:  # One at a time, as in roll_term.
-            await host.stop_and_start()
-            await asyncio.sleep(2)
-    turn = None  # Since when the second step's turn has come.
-    ends = now() + (30 if TROUBLE else 60)
+    await world.start([world.route("quick", "/quick/", hint=hint), world.route("timed", "/timed/", priority=2, hint=hint)])
+    step = {"task_count": 1, "cpu": 1000, "mem_mb": 500, "estimate_ms": 200}
+
+    async def quick(number):
+        job = f"{number:016x}"
+        if await hand_in(world, "/quick/" + job, {"spec": "quick", "steps": [step]}):
+            world.accepted[job] = now()
+
+    clients = []
+    began = now()
+    timed_sent = not TROUBLE
+    number = 0
+    while now() - began < TRAFFIC_S:
+        if not timed_sent and now() - began > 3:
+            timed_sent = True
+            small = {"task_count": 350, "cpu": 20, "mem_mb": 10, "estimate_ms": 200}
+            body = {"spec": "timed", "steps": [small], "run_count": RUNS, "interval_ms": INTERVAL_MS,
+                    "start_at_ms": int(time.time() * 1000) - RUNS * INTERVAL_MS}
+            clients.append(asyncio.create_task(hand_in(world, "/timed/" + "c" * 16, body)))
+        number += 1
+        clients.append(asyncio.create_task(quick(number)))
+        await asyncio.sleep(0.2)
+    world.record.say("the traffic ends")
+    await asyncio.gather(*clients)
+    await asyncio.sleep(max(0, began + TRAFFIC_S + FINISH_S - now()))
+    still = world.waiting()
+    most = 0
+    ends = now() + WATCH_S
     while now() < ends:
-        await asyncio.sleep(0.1)
-        done = any(end[1] == "done" for end in world.ends.get(f"{ADVISED}.0.0.0", []))
-        if turn is None and done:
-            turn = now()
-            world.record.say("the turn of the second step has come")
-        began = [task for task in world.runs if task.startswith(f"{ADVISED}.0.1.")]
-        if turn and not began and now() - turn > PATIENCE_S:
-            world.record.breaks("LOST", f"for {now() - turn:.1f} s no task of the accepted job {ADVISED} runs, though its "
-                                        f"second step's turn has come and {len(world.targets)} targets are idle "
-                                        f"(limit {TURN_S:.0f} s)")
-            break
-        if turn and len(began) == 2 and len(world.ends.get(f"{PLAIN}.0.0.0", [])) > MAX_ATTEMPTS + 1:
-            break
-    world.check_budget()
-    world.record.say("runs", world.runs)
+        await asyncio.sleep(0.05)
+        still &= world.waiting()
+        most = max(most, sum(len(tasks) for tasks in world.running.values()))
+    room = TARGETS * 16
+    world.record.say("accepted", len(world.accepted), "jobs of one task, not run", len(still), "tasks at work at most", most,
+                     "of", room, "store refused", world.store.refused)
+    if still and most < room / 2:
+        oldest = min(still, key=world.accepted.get)
+        world.record.breaks("LOST", f"{len(still)} of {len(world.accepted)} accepted jobs have nothing running for "
+                                    f"{WATCH_S:.0f} s, {FINISH_S:.0f} s after the end of the traffic, while at most {most} "
+                                    f"of {room} places are in use; the oldest, {oldest}, was accepted "
+                                    f"{now() - world.accepted[oldest]:.0f} s ago")
 
 
 if __name__ == "__main__":
