review: case 8, a task is never started again after its minion was replaced

A single short, silent crash of minions (share 0.14, 0.25 s) leaves tasks that had just been started waiting for ever: the owner asks the ended life for a report, its successor at the same address answers 421, and onReport takes that neither as the end of the life nor as silence.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec python3 -B -W ignore "$(dirname "$0")/case.py"
+cd "$(dirname "$0")" && exec python3 case.py
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -159,6 +159,9 @@
         await asyncio.sleep(0.002)
         if headers.get("target-instance", self.name) != self.name:
             self.rig.wrong_life += 1
+            if self.rig.wrong_life % 100 == 1:
+                self.rig.log(self.name, "answers 421 for the", self.rig.wrong_life, "th time:", path, "is for",
+                             headers["target-instance"])
             return 421, None
         data = json.loads(body)
         clock = {"clock_ms": int(self.clock()), "born": self.born}
