--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -233,12 +233,12 @@
     CellTarget& findOrAddTarget(const TargetId& id);
     void sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     void beginStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, const char* reason, Time now);
-    void sendStopOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant);
+    void sendStopOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     bool withdrawIfSilent(CellTarget& target, const CellTaskKey& key, Time now);
     bool withdrawIfShrunk(CellTarget& target, const CellTaskKey& key, Time now);
     void sendDueOrders(CellTarget& target, Time now);
     void releaseRun(CellTarget& target, const CellTaskKey& key, const char* reason, Time now);
-    void recordCallOutcome(CellTarget& target, OrderResult result);
+    void recordCallOutcome(CellTarget& target, OrderResult result, Time now);
     bool dataCentreReachable(const CellTarget& target) const;
     void scheduleReport(CellTarget& target, Time at);
     void requestReport(CellTarget& target, Time now);
--- a/src/cell_owner_crashes.cpp
+++ b/src/cell_owner_crashes.cpp
@@ -156,12 +156,14 @@
 bool CellOwner::heardRecently(const CellTarget& target, Time now) { return now - target.heardAt <= recentAnswer; }
 
 /**
- * Returns whether the start order of a run has to wait for an answer of the target. If a target that had just answered
- * falls silent after the start, the run is likely the cause, also if the start was never confirmed.
+ * Returns whether the start order of a run has to wait for an answer of the target: while the target may have
+ * restarted, and before the first order of a suspect. If a target that had just answered falls silent after the start
+ * of a suspect, the run is likely the cause, also if the start was never confirmed.
  */
 bool CellOwner::awaitsAnswerBeforeStart(const CellTarget& target, const Occupant& occupant, Time now)
 {
-    return occupant.phase == RunPhase::Ordered && occupant.alone && occupant.tries == 0 && !heardRecently(target, now);
+    const bool first = occupant.alone && occupant.tries == 0 && !heardRecently(target, now);
+    return occupant.phase == RunPhase::Ordered && (first || target.mayHaveRestarted());
 }
 
 /** Counts a crash for the runs that were given up while the target was silent, now that it has turned out to be one. */
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -37,10 +37,16 @@
     }
     if (answer.result == OrderResult::OtherLife)
         markReplaced(*target, now); // Its clock is not that of this target.
-    else if (answer.clock)
-        target->sawClock(*answer.clock, now);
     const auto it = target->occupants.find(key);
-    return { target, it == target->occupants.end() || it->second.run != run ? nullptr : &it->second };
+    Occupant* occupant = it == target->occupants.end() || it->second.run != run ? nullptr : &it->second;
+    if (answer.result != OrderResult::OtherLife && answer.clock
+        && !target->sawOrderAnswer(*answer.clock, occupant ? occupant->orderSentAt : Time {}, now))
+        LogLine(LogLevel::Warning, "target_clock_differs")
+            .with("target", id)
+            .with("task", taskText(key))
+            .with("clock_ms", answer.clock->count())
+            .with("expected_ms", target->clockAtLeast(now).count());
+    return { target, occupant };
 }
 
 /** Requeues a task whose start was refused before the run began. */
@@ -58,7 +64,8 @@
 bool CellOwner::withdrawIfSilent(CellTarget& target, const CellTaskKey& key, Time now)
 {
     const auto run = target.occupants.find(key);
-    if (run == target.occupants.end() || !target.silent() || !awaitsAnswerBeforeStart(target, run->second, now))
+    if (run == target.occupants.end() || !target.silent() || run->second.tries > 0
+        || !awaitsAnswerBeforeStart(target, run->second, now))
         return false;
     handleRefusedStart(target, key, "the target does not answer", now);
     return true;
@@ -105,6 +112,7 @@
         occupant.heardBeforeStart = heardRecently(target, now);
     }
     occupant.orderOpen = true;
+    occupant.orderSentAt = now;
     m_startOrders.add();
     m_hooks.start(target, order);
 }
@@ -128,13 +136,14 @@
     occupant.retryAt = now;
     occupant.stopReason = reason;
     if (m_mayOrder && !target.entry.address.empty() && !occupant.orderOpen)
-        sendStopOrder(target, key, occupant);
+        sendStopOrder(target, key, occupant, now);
 }
 
-void CellOwner::sendStopOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant)
+void CellOwner::sendStopOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now)
 {
     ++occupant.tries;
     occupant.orderOpen = true;
+    occupant.orderSentAt = now;
     m_hooks.stop(target, key, occupant.run, m_token);
 }
 
@@ -153,7 +162,7 @@
         .with("target", id)
         .with("result", orderResultName(answer.result))
         .with("try", occupant.tries);
-    recordCallOutcome(*target, answer.result);
+    recordCallOutcome(*target, answer.result, now);
     if (answer.result == OrderResult::Done) {
         target->leaseAnswered = std::max(target->leaseAnswered, occupant.leaseOrdered);
         markBegun(*target, key, occupant, now);
@@ -229,7 +238,7 @@
         return;
     Occupant& occupant = *found;
     occupant.orderOpen = false;
-    recordCallOutcome(*target, answer.result);
+    recordCallOutcome(*target, answer.result, now);
     if (answer.result == OrderResult::Lost || answer.result == OrderResult::NotSent) {
         occupant.retryAt = now + orderRetry * std::min(occupant.tries, 10);
         return;
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -181,9 +181,7 @@
             occupant.heldUntil = leaseHeldUntil(target);
     }
     target.reported = false;
-    target.endsSeen = 0;
-    target.endsAcknowledged = 0;
-    target.endsUnsaved.clear();
+    target.countEndsOf({});
     target.clockSeenAt = {};
     target.clock = {};
     target.leaseSent = {};
@@ -192,7 +190,7 @@
     target.lapsesBy = now + m_bounds.maxHold + clockMargin;
     target.badEnds = 0;
     target.quarantinedUntil = {};
-    target.lookOpen = false;
+    target.lookSentAt = {};
     target.nextLookAt = now;
     for (auto& [key, occupant] : target.occupants) {
         if (occupant.unsure) // The new incarnation may still execute the unanswered order.
@@ -247,7 +245,7 @@
 }
 
 /** Updates the reachability of a target and its data centre from the outcome of a call. */
-void CellOwner::recordCallOutcome(CellTarget& target, OrderResult result)
+void CellOwner::recordCallOutcome(CellTarget& target, OrderResult result, Time now)
 {
     const bool answered = result != OrderResult::Lost && result != OrderResult::NotSent;
     const bool everAnswered = answered || target.heardAt != Time {}; // An entry of another writer names no target.
@@ -264,7 +262,8 @@
     if (everAnswered
         && !target.silent()) // Calls to targets known to be silent would distort the loss rate of the others.
         m_lossRate += lossRateWeight * ((answered ? 0.0 : 1.0) - m_lossRate);
-    target.missedAnswer |= !answered;
+    if (!answered)
+        target.doubtedAt = now;
     if (!answered && ++target.unanswered == CellTarget::silentAfterCalls) {
         if (target.heardBeforeSilence == Time {})
             target.heardBeforeSilence = target.heardAt;
@@ -290,7 +289,8 @@
     LookOrder order;
     order.token = m_token;
     order.sentAt = now;
-    order.endsAcknowledged = target.endsSaved();
+    if (target.mayAcknowledgeEnds())
+        order.endsAcknowledged = target.endsSaved();
     // A silent target's lease is not renewed, so that its runs can be considered ended once the last lease expires.
     if (target.clockSeenAt != Time {} && !target.silent()) {
         order.leaseUntil = target.clockAtLeast(now) + leaseDuration();
@@ -302,10 +302,12 @@
         target.occupants.begin(), target.occupants.end(), [](const auto& entry) { return entry.second.fills; });
     const bool answerAwaited = std::any_of(target.occupants.begin(), target.occupants.end(),
         [&](const auto& entry) { return awaitsAnswerBeforeStart(target, entry.second, now); });
-    if (target.reported && !target.occupants.empty() && !target.silent() && !answerAwaited)
+    if (target.reported && !target.occupants.empty() && !target.silent() && !target.mayHaveRestarted()
+        && !answerAwaited)
         order.wait = std::min({ serving && filled ? tailLatencyReportWait : reportWait,
             m_lossRate > lossyThreshold ? lossyReportWait : reportWait, m_bounds.maxWait });
-    target.lookOpen = true;
+    target.lookSentAt = now;
+    target.lookWaits = order.wait.count() > 0;
     m_reportRequests.add();
     m_hooks.look(target, order);
 }
@@ -335,7 +337,9 @@
     // Without a call to its idle targets, a data centre would stay suspect after the target that was down is gone.
     const bool probed = m_dataCentreSuspect && target.listed && !dataCentreReachable(target);
     const bool needed = !target.reported || !target.occupants.empty() || endsToAcknowledge || target.silent() || probed;
-    if (!target.lookOpen && now >= target.nextLookAt && needed)
+    // A long poll that is still open may wait for an incarnation that has ended.
+    const bool lookAwaited = target.lookSentAt != Time {} && !(target.lookWaits && target.mayHaveRestarted());
+    if (!lookAwaited && now >= target.nextLookAt && needed)
         requestReport(target, now);
 }
 
@@ -357,7 +361,7 @@
         if (occupant.phase == RunPhase::Ordered && target.reported)
             sendStartOrder(target, key, occupant, now);
         else if (occupant.phase == RunPhase::Stopping)
-            sendStopOrder(target, key, occupant);
+            sendStopOrder(target, key, occupant, now);
     }
 }
 
@@ -369,12 +373,13 @@
     CellTarget* target = m_active ? findTarget(id) : nullptr;
     if (!target || order.token != m_token)
         return;
-    target->lookOpen = false;
+    if (order.sentAt == target->lookSentAt)
+        target->lookSentAt = {};
     if (answer.result == OrderResult::Fenced) {
         m_hooks.superseded("target " + id.value + " has seen a higher token");
         return;
     }
-    recordCallOutcome(*target, answer.result);
+    recordCallOutcome(*target, answer.result, now);
     if (answer.result != OrderResult::Done) {
         target->nextLookAt = now + std::min(maxReportRetry, reportRetry * (target->unanswered - 1));
         return;
@@ -389,6 +394,8 @@
     target->leaseAnswered = std::max(target->leaseAnswered, order.leaseUntil.value_or(std::chrono::milliseconds(0)));
     m_incarnationsChanged |= target->reportedBornAt != report.bornAt;
     target->reportedBornAt = report.bornAt;
+    if (target->endsBornAt != report.bornAt)
+        target->countEndsOf(report.bornAt);
     target->endsAcknowledged = std::max(target->endsAcknowledged, order.endsAcknowledged);
     if (!target->reported) {
         target->reported = true;
@@ -400,7 +407,8 @@
             .with("ends", report.ended.size());
     }
     processEnds(*target, report, now);
-    target->missedAnswer = false;
+    if (order.sentAt >= target->doubtedAt)
+        target->doubtedAt = {};
     reconcileRuns(*target, report, order.sentAt, now);
     settleLostRuns(*target, now); // The target has either crashed or was only silent.
     target->heardBeforeSilence = {};
@@ -451,7 +459,7 @@
     if (known) {
         stopReason = it->second.stopReason;
         // An end that was reported late, after an unanswered call, is no measure of the target's speed.
-        if (const Occupant& occupant = it->second; end.kind == EndKind::Done && !target.missedAnswer
+        if (const Occupant& occupant = it->second; end.kind == EndKind::Done && !target.mayHaveRestarted()
             && occupant.estimate.count() > 0 && occupant.phase == RunPhase::Running && !occupant.fills
             && !occupant.checkpointing) {
             const double ratio = std::chrono::duration<double>(now - occupant.since).count()
--- a/src/cell_target.cpp
+++ b/src/cell_target.cpp
@@ -10,6 +10,8 @@
     constexpr int failuresBeforeQuarantine = 3;
     constexpr std::chrono::seconds firstQuarantine { 3 }; ///< Doubles with each consecutive quarantine.
     constexpr int maxQuarantineDoublings = 2; ///< Limits a quarantine to 12 s, after which the target is tried again.
+    /** A clock reading is older than its answer, at most by this, also on a loaded host. */
+    constexpr std::chrono::milliseconds maxReadingAge { 1000 };
 
 } // namespace
 
@@ -65,6 +67,50 @@
     }
 }
 
+/**
+ * Records the answer to an order, which names no incarnation: only its clock tells which one has answered.
+ * @param sentAt Send time of the order, or an earlier time.
+ * @return False if the reading does not fit the clock of the incarnation that reported last.
+ */
+bool CellTarget::sawOrderAnswer(std::chrono::milliseconds reading, Time sentAt, Time now)
+{
+    heardAt = now;
+    unanswered = 0;
+    if (clockSeenAt == Time {})
+        return true;
+    const auto elapsed
+        = [this](Time until) { return std::chrono::duration_cast<std::chrono::milliseconds>(until - clockSeenAt); };
+    const auto earliest = sentAt < clockSeenAt ? clock + elapsed(sentAt) : clockAtLeast(sentAt);
+    const auto latest = clock + elapsed(now) + maxReadingAge;
+    if (reading < earliest || reading > latest) {
+        doubtedAt = now;
+        return false;
+    }
+    sawClock(reading, now);
+    return true;
+}
+
+/** Starts to count the ends of an incarnation, whose sequence numbers begin anew. */
+void CellTarget::countEndsOf(CalendarTime bornAt)
+{
+    endsBornAt = bornAt;
+    endsSeen = 0;
+    endsAcknowledged = 0;
+    endsUnsaved.clear();
+}
+
+/**
+ * Returns whether the next report request may acknowledge ends. An acknowledgement that reaches another incarnation
+ * makes it forget ends that nobody has seen, so none is sent without need, and none while a start order may have
+ * reached another incarnation than the one that reported.
+ */
+bool CellTarget::mayAcknowledgeEnds() const
+{
+    const bool startOpen
+        = std::any_of(occupants.begin(), occupants.end(), [](const auto& item) { return item.second.orderOpen; });
+    return endsSaved() > endsAcknowledged && !mayHaveRestarted() && !startOpen && endsBornAt >= entry.bornAt;
+}
+
 /** Returns whether all leases on the target have certainly expired. */
 bool CellTarget::lapsed(Time now) const
 {
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -37,6 +37,7 @@
     int tries = 0; ///< Number of orders of the current kind, start or stop, that were sent.
     bool orderOpen = false; ///< An order has been sent and is not answered yet.
     bool unsure = false; ///< An order remained unanswered and may still be carried out.
+    Time orderSentAt {}; ///< Time at which the last start or stop order was sent.
     Time retryAt {}; ///< Back-off: no order is sent again before this time.
     int percent = 0; ///< Last reported progress.
     Time progressAt {}; ///< Time at which the reported progress last increased.
@@ -97,11 +98,15 @@
     // Reports.
     bool reported = false; ///< Has reported to the current owner.
     CalendarTime reportedBornAt {}; ///< Start time of the incarnation that sent the last report.
-    bool lookOpen = false; ///< A LookOrder is not answered yet.
+    Time lookSentAt {}; ///< Send time of the LookOrder that is not answered yet; unset if there is none.
+    bool lookWaits = false; ///< That LookOrder is a long poll.
     Time nextLookAt {}; ///< Time at which the next LookOrder is due.
     Time heardAt {}; ///< Time of the last answer to any order.
-    bool missedAnswer = false; ///< An order has remained unanswered since the last report.
+    /** Time at which an order last remained unanswered or its answer did not fit the target's clock; unset once a later
+     * request for a report is answered. Orders name no incarnation, so that meanwhile they may reach a new one. */
+    Time doubtedAt {};
     int unanswered = 0; ///< Number of consecutive unanswered orders.
+    CalendarTime endsBornAt {}; ///< Start time of the incarnation whose ends the next three fields count.
     std::uint64_t endsSeen = 0; ///< Highest sequence number of a processed end.
     std::set<std::uint64_t> endsUnsaved; ///< Processed ends whose effect has not been stored yet.
     std::uint64_t endsAcknowledged = 0; ///< Highest sequence number whose acknowledgement the target has answered.
@@ -137,6 +142,8 @@
     std::chrono::milliseconds clockAtLeast(Time now) const;
     Time clockReaches(std::chrono::milliseconds reading) const;
     void sawClock(std::chrono::milliseconds reading, Time now);
+    bool mayHaveRestarted() const { return doubtedAt != Time {}; }
+    bool sawOrderAnswer(std::chrono::milliseconds reading, Time sentAt, Time now);
     bool lapsed(Time now) const;
     /** Returns whether the target has left several consecutive orders unanswered. */
     bool silent() const { return unanswered >= silentAfterCalls; }
@@ -145,6 +152,8 @@
     void runBad(Time now);
     /** Returns the sequence number up to which the effects of all ends are stored. */
     std::uint64_t endsSaved() const { return endsUnsaved.empty() ? endsSeen : *endsUnsaved.begin() - 1; }
+    bool mayAcknowledgeEnds() const;
+    void countEndsOf(CalendarTime bornAt);
 
     static constexpr int silentAfterCalls = 2; ///< A single lost answer is common, two consecutive ones are rare.
     /** Minimum rate of a target's clock; its interface allows it to run 2% slow. */
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -287,7 +287,13 @@
         target.stopped.clear();
         target.lastEnd = 0;
         target.token = {};
+        target.leaseEnds = {};
+        target.clockStart = now;
+        target.acknowledged = 0;
+        target.endedAt.clear();
         target.answerLongPoll = nullptr;
+        if (target.resetLongPoll)
+            std::exchange(target.resetLongPoll, nullptr)();
         target.entry.bornAt += 1ms;
     }
 
@@ -418,12 +424,19 @@
         });
     }
 
-    std::chrono::milliseconds clockOf(const WorldTarget& /*target*/) const
+    std::chrono::milliseconds clockOf(const WorldTarget& target) const
     {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) - 3000000ms;
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - target.clockStart);
     }
 
-    Time timeOf(std::chrono::milliseconds clock) const { return Time(clock + 3000000ms); }
+    /** Prolongs the lease of a target and of all runs there, at most to the longest lease that targets accept. */
+    void prolongLease(WorldTarget& target, std::chrono::milliseconds until) const
+    {
+        const Time ends = std::min(target.clockStart + until, now + bounds.maxHold);
+        target.leaseEnds = std::max(target.leaseEnds, ends);
+        for (auto& [key, run] : target.runs)
+            run.leaseEnds = std::max(run.leaseEnds, target.leaseEnds);
+    }
 
     void expireLeases()
     {
@@ -454,11 +467,11 @@
             if (key == order.task && run >= order.run)
                 return OrderResult::Outdated;
         }
-        if (timeOf(order.leaseUntil) <= now)
+        if (order.leaseUntil <= clockOf(target))
             return OrderResult::LeasePast;
         checkStart(target, order);
-        target.leaseEnds = std::max(target.leaseEnds, timeOf(order.leaseUntil));
-        WorldRun run { order.run, now, {}, lengthOf(order.task), timeOf(order.leaseUntil), ++m_serial };
+        prolongLease(target, order.leaseUntil);
+        WorldRun run { order.run, now, {}, lengthOf(order.task), target.leaseEnds, ++m_serial };
         target.runs.emplace(order.task, run);
         starts.push_back({ order.task, order.run, target.entry.id, now });
         const TargetId id = target.entry.id;
@@ -678,11 +691,8 @@
                     recordAcknowledgedDone(end);
                 return true;
             });
-            if (order.leaseUntil) {
-                target.leaseEnds = std::max(target.leaseEnds, timeOf(*order.leaseUntil));
-                for (auto& [key, run] : target.runs)
-                    run.leaseEnds = std::max(run.leaseEnds, timeOf(*order.leaseUntil));
-            }
+            if (order.leaseUntil)
+                prolongLease(target, *order.leaseUntil);
             const auto report = [this, id, order, expectedGeneration, reportLost, loseAnswer = losesNextAnswer()] {
                 if (loseAnswer)
                     schedule(order.wait + longPollMargin, reportLost);
@@ -700,10 +710,15 @@
                 if (!std::exchange(*answered, true))
                     schedule(1ms, report);
             };
-            schedule(order.wait, [this, id, answered, report, reportLost] {
+            target.resetLongPoll = [this, reportLost, answered] {
+                if (!std::exchange(*answered, true))
+                    schedule(1ms, reportLost);
+            };
+            schedule(order.wait, [this, id, answered, report, reportLost, bornAt = target.entry.bornAt] {
                 if (std::exchange(*answered, true))
                     return;
-                if (targets.at(id).reachable && targets.at(id).alive)
+                const WorldTarget& answering = targets.at(id);
+                if (answering.reachable && answering.alive && answering.entry.bornAt == bornAt)
                     report();
                 else
                     schedule(longPollMargin, reportLost);
--- a/tests/cell_world_type.h
+++ b/tests/cell_world_type.h
@@ -25,6 +25,7 @@
 struct WorldTarget {
     TargetEntry entry;
     FencingToken token; ///< Highest fencing token received.
+    Time clockStart { std::chrono::minutes(50) }; ///< Time at which the clock of this incarnation showed 0.
     Time leaseEnds {}; ///< Latest expiry of all granted leases.
     Time lapsedAt {}; ///< Last time at which no lease was in force.
     std::map<std::uint64_t, Time> endedAt; ///< Time of each end, by sequence number.
@@ -48,6 +49,7 @@
     OrderResult refuseStarts = OrderResult::Done;
     /** Answers the long poll that waits for the end of a run; empty if there is none. */
     std::function<void()> answerLongPoll;
+    std::function<void()> resetLongPoll; ///< Ends that long poll without an answer; empty if there is none.
 };
 
 /** A start order that a target has carried out. */
