--- a/src/cell_owner_crashes.cpp
+++ b/src/cell_owner_crashes.cpp
@@ -89,7 +89,8 @@
     lost.startedLast = occupant.phase == RunPhase::Recovered || lastHeard - occupant.startedAt < startSurvived;
     lost.alone = occupant.alone;
     // A run that was ordered to stop may have ended, and how long a former owner's lease lasts is not known.
-    if (occupant.begun && occupant.phase != RunPhase::Recovered && occupant.phase != RunPhase::Stopping)
+    const bool stopping = occupant.phase == RunPhase::Stopping && occupant.heldUntil == Time {};
+    if (occupant.begun && occupant.phase != RunPhase::Recovered && !stopping)
         lost.heldUntil = occupant.heldUntil != Time {} ? occupant.heldUntil : leaseHeldUntil(target);
     lost.lostAt = now;
     return lost;
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -163,6 +163,7 @@
         .with("result", orderResultName(answer.result))
         .with("try", occupant.tries);
     recordCallOutcome(*target, answer.result, now);
+    occupant.mayArriveLate |= answer.result == OrderResult::Lost;
     if (answer.result == OrderResult::Done) {
         target->leaseAnswered = std::max(target->leaseAnswered, occupant.leaseOrdered);
         markBegun(*target, key, occupant, now);
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -177,7 +177,8 @@
     if (target.heardBeforeSilence == Time {})
         target.heardBeforeSilence = target.heardAt;
     for (auto& [key, occupant] : target.occupants) {
-        if (occupant.heldUntil == Time {}) // Both the list and a report may announce the incarnation.
+        // Both the list and a report may announce the incarnation.
+        if (occupant.heldUntil == Time {} && occupant.phase != RunPhase::Stopping)
             occupant.heldUntil = leaseHeldUntil(target);
     }
     target.reported = false;
@@ -193,7 +194,8 @@
     target.lookSentAt = {};
     target.nextLookAt = now;
     for (auto& [key, occupant] : target.occupants) {
-        if (occupant.unsure) // The new incarnation may still execute the unanswered order.
+        // The new incarnation may still carry out an order that was not answered.
+        if (occupant.mayArriveLate || (occupant.orderOpen && occupant.phase == RunPhase::Running))
             beginStop(target, key, occupant, "the target has restarted", now);
     }
 }
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -37,6 +37,9 @@
     int tries = 0; ///< Number of orders of the current kind, start or stop, that were sent.
     bool orderOpen = false; ///< An order has been sent and is not answered yet.
     bool unsure = false; ///< An order remained unanswered and may still be carried out.
+    /** A start order remained unanswered. A later incarnation of the target may still carry it out, even if a
+     * repetition has been answered. */
+    bool mayArriveLate = false;
     Time orderSentAt {}; ///< Time at which the last start or stop order was sent.
     Time retryAt {}; ///< Back-off: no order is sent again before this time.
     int percent = 0; ///< Last reported progress.
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -11,8 +11,9 @@
 
 /**
  * Serves long-poll calls of the owner. A call carries orders; its answer carries the results that are available, or is
- * delayed until there is one. Results of orders with a lower fencing token than the highest seen are discarded. Not
- * thread-safe.
+ * delayed until there is one. Results of orders with a lower fencing token than the highest seen are discarded. Orders
+ * of a call that is read too late are not sent, since the owner has given them up and a target that has restarted
+ * meanwhile could not tell that they are old. Not thread-safe.
  */
 class OrderRelay {
 public:
@@ -27,9 +28,11 @@
         Time until {};
     };
 
-    void forwardOrder(const proto::RelayOrder& order);
-    void answerWaitingCall();
-    static void answer(const HttpListener::Reply& reply, const proto::RelayAnswer& message);
+    bool mayForward(const proto::RelayCall& call, Time now) const;
+    void forwardOrder(const proto::RelayOrder& order, Time sendBefore);
+    void rejectOrder(const proto::RelayOrder& order);
+    void answerWaitingCall(Time now);
+    static void answer(const HttpListener::Reply& reply, proto::RelayAnswer& message, Time now);
 
     const TargetCall m_call;
     const std::uint64_t m_instance;
--- a/src/order_router.cpp
+++ b/src/order_router.cpp
@@ -153,9 +153,14 @@
         std::count_if(m_relays.begin(), m_relays.end(), [](const auto& entry) { return !entry.second.retiring; }));
 }
 
-/** Returns true if a call has a purpose: to wait for results, or, as second call, to deliver new orders at once. */
-bool OrderRouter::needsCall(const Relay& relay) const
+/**
+ * Returns true if a call has a purpose: to learn the relay's clock, to wait for results, or, as second call, to deliver
+ * new orders at once.
+ */
+bool OrderRouter::needsCall(const Relay& relay, Time now)
 {
+    if (relay.instance == 0)
+        return relay.callsInFlight == 0 && !relay.retiring && now >= relay.avoidUntil;
     return relay.callsInFlight == 0 ? !relay.pending.empty() : relay.callsInFlight == 1 && !relay.unsent.empty();
 }
 
@@ -165,8 +170,8 @@
     for (auto& [host, relay] : m_relays) {
         if (relay.callsInFlight > 1 && now - relay.lastCallAt > firstCallAnswerTimeout + lagAllowance())
             failRelay(host, relay, "silent", now);
-        else if (needsCall(relay) && now - relay.lastCallAt >= relayCallInterval)
-            sendOrders(host, relay, now);
+        else if (needsCall(relay, now) && now - relay.lastCallAt >= relayCallInterval)
+            relay.instance == 0 ? greet(host, relay, now) : sendOrders(host, relay, now);
     }
     if (now - m_lastExpiryCheckAt >= expiryCheckInterval) {
         m_lastExpiryCheckAt = now;
@@ -179,15 +184,25 @@
 {
     std::optional<Time> at;
     for (const auto& [host, relay] : m_relays) {
-        if (relay.pending.empty())
+        const bool greeting = relay.instance == 0 && relay.callsInFlight == 0 && !relay.retiring;
+        if (relay.pending.empty() && !greeting)
             continue;
-        const Time next
-            = needsCall(relay) ? relay.lastCallAt + relayCallInterval : m_lastExpiryCheckAt + expiryCheckInterval;
+        const bool calls = greeting || needsCall(relay, relay.avoidUntil);
+        const Time next = calls ? std::max(relay.lastCallAt + relayCallInterval, greeting ? relay.avoidUntil : Time {})
+                                : m_lastExpiryCheckAt + expiryCheckInterval;
         at = std::min(at.value_or(next), next);
     }
     return at;
 }
 
+/** Calls a relay without orders, which can be sent once its clock is known. */
+void OrderRouter::greet(const HostId& host, Relay& relay, Time now)
+{
+    proto::RelayCall call;
+    call.set_token(m_token.value);
+    callRelay(host, relay, call, firstCallAnswerTimeout, now);
+}
+
 /** Sends the waiting orders to a relay in a long-poll call that returns results. */
 void OrderRouter::sendOrders(const HostId& host, Relay& relay, Time now)
 {
@@ -199,19 +214,32 @@
         relay.unsent.assign(unsent.begin() + maxOrdersPerCall, unsent.end());
         unsent.resize(maxOrdersPerCall);
     }
+    Time sendBefore = now + orderTimeout + lagAllowance(); // The orders are reported as lost by then.
     for (const std::uint64_t serial : unsent) {
         const auto it = relay.pending.find(serial);
         if (it == relay.pending.end())
             continue; // Expired before it was sent.
         it->second.sentToRelay = true;
+        if (const Time limit = it->second.target.sendBefore; limit != Time {})
+            sendBefore = std::min(sendBefore, limit);
         auto& order = *call.add_orders();
         order.set_serial(serial);
         toProto(it->second.target, it->second.order, order);
     }
+    call.set_instance(relay.instance);
+    if (relay.clock)
+        call.set_send_before_ms(toMs(*relay.clock + (sendBefore - relay.clockSeenAt)));
+    callRelay(host, relay, call, longPollTime + relayAnswerMargin, now);
+}
+
+/** @param answerTime Time within which the relay answers, unless this host is busy. */
+void OrderRouter::callRelay(
+    const HostId& host, Relay& relay, const proto::RelayCall& call, std::chrono::milliseconds answerTime, Time now)
+{
     ++relay.callsInFlight;
     relay.lastCallAt = now;
     m_hooks.callRelay(relay.address, call.SerializeAsString(),
-        longPollTime + relayAnswerMargin + std::chrono::ceil<std::chrono::milliseconds>(lagAllowance()),
+        answerTime + std::chrono::ceil<std::chrono::milliseconds>(lagAllowance()),
         [this, host, epoch = relay.epoch](HttpResult&& result) { handleAnswer(host, epoch, result, m_hooks.clock()); });
 }
 
@@ -229,6 +257,10 @@
         failRelay(host, relay, result.refused ? "the relay refused the connection" : "the relay did not answer", now);
         return;
     }
+    if (answer.has_clock_ms()) {
+        relay.clock = std::chrono::milliseconds(answer.clock_ms());
+        relay.clockSeenAt = now;
+    }
     if (answer.superseded()) {
         failRelay(host, relay, "the relay serves a newer owner", now);
         return;
--- a/src/order_router.h
+++ b/src/order_router.h
@@ -7,11 +7,16 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace sp {
 
+namespace proto {
+    class RelayCall;
+}
+
 /** Functions through which the router sends orders. */
 struct OrderRouterHooks {
     TargetCall direct; ///< Calls a target from this host.
@@ -25,7 +30,8 @@
  * Sends orders to targets, directly or through relays. Each order needs a call to its target, and the call costs more
  * processor time than the decision to send the order. In a large cell the owner therefore sends its orders in batches
  * to the strongest other hosts, which call the targets and return the results in batches. If a relay fails, orders
- * already sent to it are reported as OrderResult::Lost, and the others are sent directly. Not thread-safe.
+ * already sent to it are reported as OrderResult::Lost, and the others are sent directly. Each call names the time, on
+ * the relay's clock, from which on its orders are out of date. Not thread-safe.
  */
 class OrderRouter {
 public:
@@ -49,6 +55,8 @@
     struct Relay {
         std::string address;
         std::uint64_t instance = 0; ///< Identifies the relay's process; 0 until its first answer.
+        std::optional<std::chrono::milliseconds> clock; ///< Reading of the relay's clock in its last answer.
+        Time clockSeenAt {}; ///< Time at which that answer was received.
         std::uint64_t epoch = 0; ///< Changes when the relay fails, so that answers to earlier calls are ignored.
         std::map<std::uint64_t, PendingOrder> pending; ///< Orders without a result, by serial number.
         std::vector<std::uint64_t> unsent; ///< Serial numbers of orders that are not sent yet.
@@ -64,7 +72,10 @@
     void handleAnswer(const HostId& host, std::uint64_t epoch, const HttpResult& result, Time now);
     void failRelay(const HostId& host, Relay& relay, const char* reason, Time now);
     void expireOrders(Time now);
-    bool needsCall(const Relay& relay) const;
+    void greet(const HostId& host, Relay& relay, Time now);
+    void callRelay(
+        const HostId& host, Relay& relay, const proto::RelayCall& call, std::chrono::milliseconds answerTime, Time now);
+    static bool needsCall(const Relay& relay, Time now);
 
     const OrderRouterHooks m_hooks;
     FencingToken m_token;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -58,6 +58,7 @@
     int superseded = 0; ///< Number of times that the owner found a newer owner.
     Time staleListUntil {}; ///< Until this time, the owner receives the list of targets as it was last read.
     Duration lateOrderDelay { 3s }; ///< Delay of orders that are carried out late.
+    bool relaysHoldOrders = false; ///< Late orders are carried out by later incarnations of their targets as well.
     Duration orderTimeout { 500ms }; ///< Time after which an unanswered order counts as lost.
     Duration longPollMargin { 600ms }; ///< Time after the end of a long poll at which it counts as lost.
     int loseEveryNthCall = 0; ///< One in this many calls to targets is carried out without an answer; 0 for none.
@@ -583,8 +584,8 @@
                 if (receiver.alive && receiver.reachable && receiver.ordersToDelay > 0) {
                     --receiver.ordersToDelay;
                     schedule(lateOrderDelay, [this, id, order, incarnation = receiver.entry.bornAt] {
-                        // An order to an earlier incarnation is lost with its connection.
-                        if (targets.at(id).alive && targets.at(id).entry.bornAt == incarnation)
+                        // An order to an earlier incarnation is lost with its connection, unless a relay holds it.
+                        if (targets.at(id).alive && (relaysHoldOrders || targets.at(id).entry.bornAt == incarnation))
                             start(targets.at(id), order);
                     });
                 } else if (receiver.alive && receiver.reachable) {
--- a/tests/test_cell_restart.cpp
+++ b/tests/test_cell_restart.cpp
@@ -49,3 +49,26 @@
         }
     }
 }
+
+// Guards against running a task twice: a start order without an answer was forgotten once its repetition had been
+// answered, and the next incarnation of the target carried it out beside the task's next run.
+TEST_CASE("an order that was left unanswered starts nothing on a restarted target")
+{
+    for (int i = 0; i < 40; ++i) {
+        CellWorld test;
+        test.addTargets(2);
+        test.relaysHoldOrders = true;
+        test.lengthOf = [](const CellTaskKey&) { return Duration(20s); };
+        test.takeOver();
+        test.run(200ms);
+        test.targets.at(TargetId("t1")).ordersToDelay = 1;
+        test.targets.at(TargetId("t2")).ordersToDelay = 1;
+        test.submit("long", { CellWorld::step(4) });
+        test.run(700ms + i * 50ms);
+        test.restartTarget(test.targets.at(TargetId("t1")));
+        test.run(6s);
+        CAPTURE(i);
+        CHECK(test.running("long") == 4);
+        CHECK(test.violations.empty());
+    }
+}
--- a/tests/test_order_relay.cpp
+++ b/tests/test_order_relay.cpp
@@ -55,6 +55,7 @@
         addRelay("a-h3", 1);
         router.begin(FencingToken(7));
         router.setHosts(HostId("h1"), members, 350);
+        advance(10ms); // The router learns the clocks of its relays.
     }
 
     void addRelay(const std::string& address, std::uint64_t instance)
@@ -267,14 +268,20 @@
     OrderRouter newOwnerRouter { hooks() };
     newOwnerRouter.begin(FencingToken(9));
     newOwnerRouter.setHosts(HostId("h4"), members, 350);
+    const auto callRelays = [&] {
+        now += 10ms;
+        newOwnerRouter.tick(now);
+        std::erase_if(peerCalls, [](const PeerCall& call) { return call.address == "a-h1"; });
+        deliver();
+        for (auto& [address, relay] : relays)
+            relay->tick(now);
+    };
+    callRelays(); // The new owner learns the clocks of its relays.
     std::vector<OrderResult> newOwnerResults;
     for (int i = 0; i < 40; ++i)
         newOwnerRouter.send({ TargetId("x" + std::to_string(i)), "a" }, StopOrder { {}, 1, FencingToken(9) },
             [&](const OrderAnswer& answer, const RunReport&) { newOwnerResults.push_back(answer.result); });
-    now += 10ms;
-    newOwnerRouter.tick(now);
-    std::erase_if(peerCalls, [](const PeerCall& call) { return call.address == "a-h1"; });
-    deliver();
+    callRelays();
     answerTargets(); // Answers orders of both owners.
     for (auto& [address, relay] : relays)
         relay->tick(now);
@@ -288,6 +295,71 @@
     CHECK(std::count(results.begin(), results.end(), OrderResult::Done) == 0);
 }
 
+// Guards against running a task twice: a relay host that had been suspended sent start orders that the owner had given
+// up and sent itself, and a target that had restarted meanwhile carried them out.
+TEST_CASE_FIXTURE(Fixture, "a relay that reads a call too late sends none of its orders")
+{
+    send(40);
+    now += 10ms;
+    router.tick(now);
+    REQUIRE(peerCalls.size() == 2);
+    SUBCASE("after the time limit of the orders")
+    {
+        now += 4s;
+        deliver();
+        CHECK(calls.empty());
+    }
+    SUBCASE("or in time, when the limit goes on to the client of the targets")
+    {
+        // A call that is read in time carries the limits to the targets' client, which may be slow to connect.
+        deliver();
+        REQUIRE(calls.size() == 40);
+        for (const Call& call : calls) {
+            CHECK(call.target.sendBefore > now);
+            CHECK(call.target.sendBefore <= now + 1s);
+        }
+    }
+    SUBCASE("as another process than the one that was called")
+    {
+        addRelay("a-h2", 2);
+        addRelay("a-h3", 2);
+        deliver();
+        CHECK(calls.empty());
+        advance(10ms);
+        CHECK(results == std::vector<OrderResult>(40, OrderResult::Lost));
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "orders are relayed only until the owner's permission ends")
+{
+    StopOrder order { {}, 1, FencingToken(7) };
+    for (int i = 0; i < 40; ++i)
+        router.send({ TargetId("t" + std::to_string(i)), "a", now + 50ms }, order,
+            [this](const OrderAnswer& answer, const RunReport&) { results.push_back(answer.result); });
+    now += 10ms;
+    router.tick(now);
+    now += 100ms;
+    deliver();
+    CHECK(calls.empty());
+    CHECK(results == std::vector<OrderResult>(40, OrderResult::NotSent));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a relay that does not answer the first call gets no orders")
+{
+    router.begin(FencingToken(8));
+    router.setHosts(HostId("h1"), members, 350);
+    send(40);
+    now += 10ms;
+    router.tick(now);
+    CHECK(peerCalls.size() == 2);
+    failPeerCalls(true);
+    CHECK(std::count_if(calls.begin(), calls.end(), [](const Call& call) { return call.host == "owner"; }) == 40);
+    advance(3s); // The relays are tried again.
+    send(40);
+    advance(10ms);
+    CHECK(std::count_if(calls.begin(), calls.end(), [](const Call& call) { return call.host != "owner"; }) == 40);
+}
+
 TEST_CASE_FIXTURE(Fixture, "after begin() no earlier order gets a reply")
 {
     send(40);
