Fix: a task was placed on a target that had ended, and never started (LOST)

Cause: the ended target was still listed and was chosen again. The start waited for a report; each request was answered 421, which counted as an answer and changed nothing. Now a refused report counts like an unanswered call, one that another incarnation refuses ends the runs of the former one, and a replaced target gets no work until it reports. The same wait with a target that answers requests with 400 or 503 is mended with it. Ruled out: that the end of the former incarnation was not known.

--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -239,6 +239,8 @@
     void sendDueOrders(CellTarget& target, Time now);
     void releaseRun(CellTarget& target, const CellTaskKey& key, const char* reason, Time now);
     void recordCallOutcome(CellTarget& target, OrderResult result, Time now);
+    void countUnanswered(CellTarget& target, Time now);
+    void onReportRefused(CellTarget& target, OrderResult result, Time now);
     bool dataCentreReachable(const CellTarget& target) const;
     void scheduleReport(CellTarget& target, Time at);
     void requestReport(CellTarget& target, Time now);
--- a/src/cell_owner_orders.cpp
+++ b/src/cell_owner_orders.cpp
@@ -87,7 +87,8 @@
 void CellOwner::sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now)
 {
     if (awaitsAnswerBeforeStart(target, occupant, now)) {
-        scheduleReport(target, now);
+        if (!target.silent())
+            scheduleReport(target, now);
         return;
     }
     CellJob* job = findOpenJob(key.job);
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -209,8 +209,13 @@
     const auto lost = target.tasksWhere([](const CellTaskKey&, const Occupant& occupant) {
         return occupant.phase != RunPhase::Recording && !(occupant.phase == RunPhase::Ordered && occupant.orderOpen);
     });
-    for (const CellTaskKey& key : lost)
-        releaseRun(target, key, reason, now);
+    for (const CellTaskKey& key : lost) {
+        const Occupant& occupant = target.occupants.at(key);
+        if (occupant.phase == RunPhase::Ordered && occupant.tries == 0)
+            handleRefusedStart(target, key, reason, now);
+        else
+            releaseRun(target, key, reason, now);
+    }
 }
 
 /** Releases a run that was never begun or has ended without a reported result, and requeues its task. */
@@ -249,7 +254,7 @@
 /** Updates the reachability of a target and its data centre from the outcome of a call. */
 void CellOwner::recordCallOutcome(CellTarget& target, OrderResult result, Time now)
 {
-    const bool answered = result != OrderResult::Lost && result != OrderResult::NotSent;
+    const bool answered = isAnswer(result);
     const bool everAnswered = answered || target.heardAt != Time {}; // An entry of another writer names no target.
     if (everAnswered) {
         DataCentreReachability& reachability = m_reachability[target.entry.dataCentre];
@@ -265,12 +270,19 @@
         && !target.silent()) // Calls to targets known to be silent would distort the loss rate of the others.
         m_lossRate += lossRateWeight * ((answered ? 0.0 : 1.0) - m_lossRate);
     if (!answered)
-        target.doubtedAt = now;
-    if (!answered && ++target.unanswered == CellTarget::silentAfterCalls) {
-        if (target.heardBeforeSilence == Time {})
-            target.heardBeforeSilence = target.heardAt;
-        LogLine(LogLevel::Warning, "target_silent").with("target", target.id()).with("runs", target.occupants.size());
-    }
+        countUnanswered(target, now);
+}
+
+/** Counts a call without an answer, or a request for a report that got none. Several in a row make the target silent.
+ */
+void CellOwner::countUnanswered(CellTarget& target, Time now)
+{
+    target.doubtedAt = now;
+    if (++target.unanswered != CellTarget::silentAfterCalls)
+        return;
+    if (target.heardBeforeSilence == Time {})
+        target.heardBeforeSilence = target.heardAt;
+    LogLine(LogLevel::Warning, "target_silent").with("target", target.id()).with("runs", target.occupants.size());
 }
 
 /** Returns whether the data centre of a target answers well enough for new work. */
@@ -338,7 +350,8 @@
     const bool endsToAcknowledge = target.endsSaved() > target.endsAcknowledged;
     // Without a call to its idle targets, a data centre would stay suspect after the target that was down is gone.
     const bool probed = m_dataCentreSuspect && target.listed && !dataCentreReachable(target);
-    const bool needed = !target.reported || !target.occupants.empty() || endsToAcknowledge || target.silent() || probed;
+    const bool needed = !target.reported || !target.occupants.empty() || endsToAcknowledge || target.silent()
+        || target.replaced || probed;
     // A long poll that is still open may wait for an incarnation that has ended.
     const bool lookAwaited = target.lookSentAt != Time {} && !(target.lookWaits && target.mayHaveRestarted());
     if (!lookAwaited && now >= target.nextLookAt && needed)
@@ -381,11 +394,11 @@
         m_hooks.superseded("target " + id.value + " has seen a higher token");
         return;
     }
-    recordCallOutcome(*target, answer.result, now);
     if (answer.result != OrderResult::Done) {
-        target->nextLookAt = now + std::min(maxReportRetry, reportRetry * (target->unanswered - 1));
+        onReportRefused(*target, answer.result, now);
         return;
     }
+    recordCallOutcome(*target, answer.result, now);
     if (report.bornAt != CalendarTime {} && report.bornAt < target->reportedBornAt)
         return; // A delayed answer of an earlier incarnation.
     if (target->reportedBornAt != CalendarTime {} && report.bornAt > target->reportedBornAt)
@@ -421,6 +434,27 @@
     wakeBy(now);
 }
 
+/**
+ * Handles a request for a report that got none. Whatever the reason, the target is as good as silent for its runs:
+ * their lease is not renewed and their ends are not seen.
+ */
+void CellOwner::onReportRefused(CellTarget& target, OrderResult result, Time now)
+{
+    if (isAnswer(result))
+        LogLine(LogLevel::Warning, "report_refused")
+            .with("target", target.id())
+            .with("result", orderResultName(result))
+            .with("runs", target.occupants.size());
+    recordCallOutcome(target, result, now);
+    if (isAnswer(result))
+        countUnanswered(target, now);
+    if (result == OrderResult::OtherLife) {
+        markReplaced(target, now);
+        releaseEndedIncarnation(target, "another incarnation answers at its address", now);
+    }
+    target.nextLookAt = now + std::clamp(reportRetry * (target.unanswered - 1), reportRetry * 0, maxReportRetry);
+}
+
 void CellOwner::processEnds(CellTarget& target, const RunReport& report, Time now)
 {
     for (const EndRow& end : report.ended) {
--- a/src/cell_target.cpp
+++ b/src/cell_target.cpp
@@ -124,8 +124,8 @@
 {
     // The capacity of a restarted target is known only after its new incarnation appears in the list of targets.
     const bool currentIncarnation = entry.bornAt >= reportedBornAt;
-    return listed && reported && currentIncarnation && unknownReservations == 0 && !entry.draining && !silent()
-        && now >= quarantinedUntil && now >= refusedUntil;
+    return listed && reported && currentIncarnation && !replaced && unknownReservations == 0 && !entry.draining
+        && !silent() && now >= quarantinedUntil && now >= refusedUntil;
 }
 
 /** Records a successful run, which resets the failure counts. */
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -254,6 +254,8 @@
 };
 
 const char* orderResultName(OrderResult result);
+/** Returns whether the target, or another incarnation at its address, has answered the order. */
+inline bool isAnswer(OrderResult result) { return result != OrderResult::NotSent && result != OrderResult::Lost; }
 
 /** Answer to an order. */
 struct OrderAnswer {
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -589,7 +589,8 @@
                             start(targets.at(id), order);
                     });
                 } else if (receiver.alive && receiver.reachable) {
-                    reply = { start(receiver, order), clockOf(receiver) };
+                    reply = receiver.answersForAnother ? OrderAnswer { OrderResult::OtherLife, {} }
+                                                       : OrderAnswer { start(receiver, order), clockOf(receiver) };
                     if (reply.result == OrderResult::NotSent)
                         reply.clock.reset(); // The order did not reach the target.
                     if (losesAnswerOf && losesAnswerOf(order.task)) {
@@ -671,10 +672,12 @@
                 schedule(order.wait + longPollMargin, reportLost);
                 return;
             }
-            if (target.answersForAnother) {
-                scheduleForOwner(1ms, [this, id, order] {
-                    owner->onReport(id, order, { OrderResult::OtherLife, {} }, {}, now);
-                });
+            if (target.answersForAnother || target.refuseReports != OrderResult::Done) {
+                scheduleForOwner(1ms,
+                    [this, id, order,
+                        refusal = target.answersForAnother ? OrderResult::OtherLife : target.refuseReports] {
+                        owner->onReport(id, order, { refusal, {} }, {}, now);
+                    });
                 return;
             }
             if (order.token < target.token) {
--- a/tests/cell_world_type.h
+++ b/tests/cell_world_type.h
@@ -47,6 +47,8 @@
     int ordersToDelay = 0; ///< Number of orders that will be carried out seconds late and without an answer.
     /** Any value but Done is returned for every start order, which is then not carried out. */
     OrderResult refuseStarts = OrderResult::Done;
+    /** Any value but Done is returned for every request for a report. */
+    OrderResult refuseReports = OrderResult::Done;
     /** Answers the long poll that waits for the end of a run; empty if there is none. */
     std::function<void()> answerLongPoll;
     std::function<void()> resetLongPoll; ///< Ends that long poll without an answer; empty if there is none.
--- a/tests/test_cell_restart.cpp
+++ b/tests/test_cell_restart.cpp
@@ -72,3 +72,83 @@
         CHECK(test.violations.empty());
     }
 }
+
+namespace {
+
+/** Targets of which one ends without a word; a later incarnation of its machine then serves at its address. */
+struct ReplacedTest : CellWorld {
+    explicit ReplacedTest(int count)
+    {
+        addTargets(count);
+        lengthOf = [](const CellTaskKey&) { return Duration(3s); };
+        takeOver();
+        run(200ms);
+    }
+
+    WorldTarget& targetOf(const JobId& job)
+    {
+        const auto it = std::find_if(targets.begin(), targets.end(), [&](const auto& item) {
+            return std::any_of(item.second.runs.begin(), item.second.runs.end(),
+                [&](const auto& entry) { return entry.first.job == job; });
+        });
+        REQUIRE(it != targets.end());
+        return it->second;
+    }
+
+    /** The entry of the former incarnation stays listed for the usual time. */
+    void replace(WorldTarget& target, Duration down)
+    {
+        target.alive = false;
+        target.runs.clear();
+        later(down, [this, &target] {
+            target.alive = true;
+            target.answersForAnother = true;
+            WorldTarget next;
+            next.entry = target.entry;
+            next.entry.id = TargetId(target.entry.id.value + "'");
+            next.entry.bornAt += 1ms;
+            targets.emplace(next.entry.id, next);
+        });
+        later(4500ms, [&target] { target.listed = false; });
+    }
+};
+
+} // namespace
+
+// Guards against a task that is never started again: it was placed on an incarnation that had ended, whose address
+// answered each request for a report in the name of another one.
+TEST_CASE("a task is started again after its target was replaced, however quickly")
+{
+    for (const int count : { 1, 2, 4 }) {
+        for (Duration down = 100ms; down < 2s; down += 100ms) {
+            for (const bool gang : { false, true }) {
+                ReplacedTest test(count);
+                StepSpec step = CellWorld::step(gang ? 2 : 1);
+                step.gang = gang;
+                test.submit("j1", { step });
+                test.run(300ms);
+                test.replace(test.targetOf(JobId("j1")), down);
+                test.run(15s);
+                CAPTURE(count);
+                CAPTURE(toMs(down));
+                CAPTURE(gang);
+                CHECK(test.state("j1") == "completed");
+                CHECK(test.violations.empty());
+            }
+        }
+    }
+}
+
+// The same with a target that answers requests for reports with an error: its runs were neither seen nor given up.
+TEST_CASE("a task is started again if its target refuses to report")
+{
+    for (const OrderResult refusal : { OrderResult::Unhealthy, OrderResult::Rejected }) {
+        ReplacedTest test(3);
+        test.submit("j1", { CellWorld::step(1) });
+        test.run(300ms);
+        test.targetOf(JobId("j1")).refuseReports = refusal;
+        test.run(20s);
+        CHECK(test.state("j1") == "completed");
+        CHECK(test.violations.empty());
+    }
+}
