--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -17,6 +17,8 @@
     constexpr std::chrono::milliseconds ownerWaitLimitWithoutStore { 200 }; ///< Enough to ask two other members.
     constexpr std::chrono::milliseconds storeSilenceLimit { 700 }; ///< Two unanswered lease renewals.
     constexpr std::chrono::milliseconds noOwnerRetryAfter { 1000 }; ///< A take-over takes 1 to 3 s.
+    /** After the last attempts at the end of the process: a short call, then a state read from the store. */
+    constexpr std::chrono::milliseconds lastAnswerDelay { 250 };
 
 } // namespace
 
@@ -26,8 +28,8 @@
     CallerReply reply;
     int attempts = 0;
     bool maybeExecuted = false; ///< An earlier attempt may have been executed.
+    bool callOpen = false; ///< An attempt is under way and may be executed.
     bool finished = false;
-    Time deadline() const { return request.receivedAt + request.patience - answerMargin; }
 };
 
 EntryNode::EntryNode(EntryNodeConfig config, Metrics& metrics, EntryNodeHooks hooks)
@@ -177,15 +179,25 @@
     auto pending = std::make_shared<PendingRequest>();
     pending->request = std::move(request);
     pending->reply = std::move(reply);
-    ++m_openRequests;
-    attemptRequest(pending);
+    m_open.insert(pending);
+    if (m_answerBy && m_hooks.clock() >= *m_answerBy)
+        giveUp(pending, "the process is about to end");
+    else
+        attemptRequest(pending);
+}
+
+/** Returns the time by which a request is answered: before its caller gives up, and before the process ends. */
+Time EntryNode::deadlineOf(const PendingRequest& pending) const
+{
+    const Time deadline = pending.request.receivedAt + pending.request.patience - answerMargin;
+    return std::min(deadline, m_answerBy.value_or(deadline));
 }
 
 void EntryNode::answerCaller(const std::shared_ptr<PendingRequest>& pending, CallerResult&& result)
 {
     if (std::exchange(pending->finished, true))
         return;
-    --m_openRequests;
+    m_open.erase(pending);
     const auto took = m_hooks.clock() - pending->request.receivedAt;
     m_requestSeconds.record(took);
     if (result.kind == CallerResult::Kind::Uncertain)
@@ -208,6 +220,8 @@
 /** Sends the request to the owner, or executes it here if this host is the owner. */
 void EntryNode::attemptRequest(const std::shared_ptr<PendingRequest>& pending)
 {
+    if (pending->finished)
+        return;
     const Time now = m_hooks.clock();
     const CallerRequest& request = pending->request;
     proto::OwnerCall call;
@@ -218,6 +232,7 @@
     if (request.spec)
         toProto(*request.spec, *call.mutable_spec());
     ++pending->attempts;
+    pending->callOpen = true;
     if (m_session.owning() && m_session.leaseValid(now)) {
         serveOwnerCall(call, [this, pending](const proto::OwnerAnswer& answer) { handleOwnerAnswer(pending, answer); });
         return;
@@ -228,7 +243,7 @@
         return;
     }
     m_forwarded.add();
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(pending->deadline() - now);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadlineOf(*pending) - now);
     const auto timeout = std::clamp(left, peerRetryDelay, peerTimeout);
     m_hooks.callPeer(address, ownerCallPath, call.SerializeAsString(), timeout, [this, pending](HttpResult&& result) {
         proto::OwnerAnswer answer;
@@ -302,12 +317,15 @@
  */
 void EntryNode::retryOrAnswer(const std::shared_ptr<PendingRequest>& pending, const char* reason, bool sent)
 {
+    if (pending->finished)
+        return;
     const Time now = m_hooks.clock();
+    pending->callOpen = false;
     pending->maybeExecuted |= sent;
     const bool submit = pending->request.action == CallerAction::Submit;
     const Time retryUntil = submit && !pending->maybeExecuted
-        ? std::min(pending->deadline(), pending->request.receivedAt + maxWaitForOwner(now))
-        : pending->deadline();
+        ? std::min(deadlineOf(*pending), pending->request.receivedAt + maxWaitForOwner(now))
+        : deadlineOf(*pending);
     if (now + peerRetryDelay < retryUntil) {
         m_retries.emplace_back(now + peerRetryDelay, pending);
         return;
@@ -316,13 +334,29 @@
         answerStateFromStore(pending);
         return;
     }
+    giveUp(pending, reason);
+}
+
+/** Gives a request its final answer without a result. It is refused only if it was certainly not executed. */
+void EntryNode::giveUp(const std::shared_ptr<PendingRequest>& pending, const char* reason)
+{
     CallerResult result;
-    result.kind = pending->maybeExecuted ? CallerResult::Kind::Uncertain : CallerResult::Kind::Refused;
+    const bool uncertain = pending->maybeExecuted || pending->callOpen;
+    result.kind = uncertain ? CallerResult::Kind::Uncertain : CallerResult::Kind::Refused;
     result.retryAfter = noOwnerRetryAfter;
     result.reason = reason;
     answerCaller(pending, std::move(result));
 }
 
+/** Answers the requests that are still open shortly before the process ends, such as those whose call is under way. */
+void EntryNode::answerOpenRequests(Time now)
+{
+    if (!m_answerBy || now < *m_answerBy + lastAnswerDelay)
+        return;
+    for (const auto& pending : std::exchange(m_open, {}))
+        giveUp(pending, "the process ends");
+}
+
 /** Returns how long a submission waits for an owner; less if the store is silent and only members may know one. */
 std::chrono::milliseconds EntryNode::maxWaitForOwner(Time now) const
 {
@@ -479,7 +513,7 @@
  */
 bool EntryNode::ready(Time now, std::string& reason) const
 {
-    if (m_draining)
+    if (draining())
         reason = "shutting down";
     else if (!m_config)
         reason = "no configuration yet";
@@ -488,10 +522,13 @@
     return reason.empty();
 }
 
-/** Prepares for shutdown: gives up ownership of the cell and claims it no more. */
-void EntryNode::drain()
+/**
+ * Prepares for shutdown: gives up ownership of the cell and claims it no more.
+ * @param answerBy Time by which open requests get their final answer; later ones are refused at once.
+ */
+void EntryNode::drain(Time answerBy)
 {
-    m_draining = true;
+    m_answerBy = answerBy;
     m_session.setEligible(false);
     m_session.resign("the process is shutting down");
 }
@@ -499,7 +536,7 @@
 /** Performs periodic tasks, retries and time-outs that are due. */
 void EntryNode::tick(Time now)
 {
-    m_session.setEligible(!m_draining && m_config.has_value());
+    m_session.setEligible(!draining() && m_config.has_value());
     m_session.tick(now);
     if (m_session.owning()) {
         m_owner.setMayOrder(m_owner.active() && m_session.leaseValid(now));
@@ -527,6 +564,7 @@
         else
             m_retries.emplace_back(at, std::move(pending));
     }
+    answerOpenRequests(now);
 }
 
 /** Returns when tick() is due. */
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace sp {
@@ -92,9 +93,9 @@
     void handlePeer(ServedCall&& call, HttpListener::Reply reply);
     const CellConfig* config() const { return m_config ? &*m_config : nullptr; }
     bool ready(Time now, std::string& reason) const;
-    void drain();
-    bool draining() const { return m_draining; }
-    std::size_t openRequests() const { return m_openRequests; }
+    void drain(Time answerBy);
+    bool draining() const { return m_answerBy.has_value(); }
+    std::size_t openRequests() const { return m_open.size(); }
     void tick(Time now);
     Time wakeAt(Time now) const;
     void handleCallbackFailure();
@@ -136,6 +137,9 @@
     std::string forwardAddress(int attempts, Time now) const;
     void retryOrAnswer(const std::shared_ptr<PendingRequest>& pending, const char* reason, bool sent);
     std::chrono::milliseconds maxWaitForOwner(Time now) const;
+    Time deadlineOf(const PendingRequest& pending) const;
+    void giveUp(const std::shared_ptr<PendingRequest>& pending, const char* reason);
+    void answerOpenRequests(Time now);
     void answerStateFromStore(const std::shared_ptr<PendingRequest>& pending);
     void serveOwnerCall(const proto::OwnerCall& call, const std::function<void(const proto::OwnerAnswer&)>& reply);
     void servePeerAdvice(const ServedCall& call, HttpListener::Reply reply);
@@ -183,8 +187,8 @@
     Time m_lastLateIterationAt {};
 
     std::vector<std::pair<Time, std::shared_ptr<PendingRequest>>> m_retries;
-    std::size_t m_openRequests = 0;
-    bool m_draining = false;
+    std::set<std::shared_ptr<PendingRequest>> m_open; ///< Requests without an answer.
+    std::optional<Time> m_answerBy; ///< Set while the process shuts down: no request waits longer than this.
     Counter& m_forwarded;
     Counter& m_uncertain;
     Histogram& m_requestSeconds;
--- a/src/entry_node_owner.cpp
+++ b/src/entry_node_owner.cpp
@@ -303,7 +303,7 @@
         .with("turns", report.turns)
         .with("longest_turn_ms", toMs(report.longestTurn))
         .with("open_jobs", m_owner.openJobCount())
-        .with("open_requests", m_openRequests)
+        .with("open_requests", m_open.size())
         .with("owner_tick_ms", toMs(std::exchange(m_ownerTickTime, {})));
 }
 
--- a/tests/test_entry_node.cpp
+++ b/tests/test_entry_node.cpp
@@ -284,3 +284,71 @@
     }
     CHECK(node.statusText(now).find("\"active\":false") != std::string::npos);
 }
+
+namespace {
+
+/** Requests of callers to a host that knows no owner. */
+struct ShutdownTest : Fixture {
+    std::vector<CallerResult::Kind> answers;
+
+    void ask(CallerAction action)
+    {
+        CallerRequest request;
+        request.action = action;
+        request.queue = QueueId("q");
+        request.job = JobId("j");
+        request.receivedAt = now;
+        request.patience = 3s;
+        node.handle(std::move(request), [this](CallerResult&& result) { answers.push_back(result.kind); });
+    }
+
+    void pass(Duration time)
+    {
+        for (const Time end = now + time; now < end;)
+            advance(20ms);
+    }
+};
+
+} // namespace
+
+// Guards against requests that end without an answer: a process that was shutting down ended while they waited for an
+// owner.
+TEST_CASE_FIXTURE(ShutdownTest, "requests that wait for an owner are answered before the process ends")
+{
+    ask(CallerAction::State);
+    node.drain(now + 1s);
+    pass(500ms);
+    CHECK(answers.empty());
+    ask(CallerAction::Cancel);
+    pass(480ms);
+    ask(CallerAction::State);
+    pass(100ms);
+    CHECK(answers.size() == 3);
+    CHECK(node.openRequests() == 0);
+}
+
+TEST_CASE_FIXTURE(ShutdownTest, "requests are refused at once when the process is about to end")
+{
+    node.drain(now + 1s);
+    pass(1s);
+    ask(CallerAction::Submit);
+    CHECK(answers == std::vector<CallerResult::Kind> { CallerResult::Kind::Refused });
+}
+
+TEST_CASE_FIXTURE(ShutdownTest, "a request whose call to the owner is under way as the process ends is not refused")
+{
+    proto::OwnerRecord owner;
+    owner.set_node("h2");
+    owner.set_address("10.0.0.2:1");
+    node.tick(now);
+    answerAll<StoreLeaseGrant>(ok());
+    answerAll<StoreRange>(
+        ok({ { "config/cell", "c", Revision(3) }, { "cell/own/owner", owner.SerializeAsString(), Revision(4) } }));
+    node.tick(now);
+    ask(CallerAction::Submit); // The call is never answered.
+    node.drain(now + 500ms);
+    pass(500ms);
+    CHECK(answers.empty());
+    pass(300ms);
+    CHECK(answers == std::vector<CallerResult::Kind> { CallerResult::Kind::Uncertain });
+}
