Fix: a new owner did not wait for the longer leases of targets that had restarted (TWICE)

Cause: the former owner renewed leases by the clock of the target's former life. The new clock reaches that reading far later, so that the target shortens the lease to its longest one only. The former owner allows for that once it notices the restart; the next one took the lease for one of the usual length and started the task up to a second too early. Now no lease is renewed for a target that may have restarted, and a new owner waits for the longest lease of targets whose entry shows a recent start. All other targets are waited for as before. Ruled out: a wait that is too short for all targets.

--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -231,6 +231,7 @@
     // Targets and orders.
     CellTarget* findTarget(const TargetId& id);
     CellTarget& findOrAddTarget(const TargetId& id);
+    Time restartLeaseEnd(CalendarTime bornAt, Time now) const;
     void sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     void beginStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, const char* reason, Time now);
     void sendStopOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -13,6 +13,16 @@
     constexpr int leasePercent = 60;
     /** Covers answers in flight and rounding of clock readings. */
     constexpr std::chrono::milliseconds clockMargin { 300 };
+    /** An owner knows of a restart within 3 s, by the list or by a call without an answer; the rest allows for calendar
+     * clocks that differ. */
+    constexpr std::chrono::milliseconds restartNoticed { 5000 };
+
+    /** Returns the longest time that a lease takes by a target's own clock. */
+    std::chrono::milliseconds bySlowestClock(std::chrono::milliseconds lease)
+    {
+        return std::chrono::ceil<std::chrono::milliseconds>(lease / CellTarget::slowestClock);
+    }
+
     /** Targets measure tail latency over the last half second. */
     constexpr std::chrono::milliseconds tailLatencyReportWait { 500 };
     constexpr double lossRateWeight = 0.01; ///< Averages over about a hundred calls.
@@ -54,14 +64,23 @@
         target->entry.id = id;
         target->serial = ++m_lastTargetSerial;
         // Runs that a former owner started there may be active until their leases have expired by the target's clock.
-        target->lapsesBy = m_ownedSince + m_bounds.sessionTtl
-            + std::chrono::milliseconds(
-                static_cast<std::int64_t>(static_cast<double>(leaseDuration().count()) / CellTarget::slowestClock))
-            + clockMargin;
+        target->lapsesBy = m_ownedSince + m_bounds.sessionTtl + bySlowestClock(leaseDuration()) + clockMargin;
     }
     return *target;
 }
 
+/**
+ * Returns the time until which a target that has restarted may keep runs of a former owner. A lease that this owner
+ * granted before it knew of the restart ends at a reading of the former clock, which the new one reaches far later: the
+ * target only shortens it to the longest lease.
+ */
+Time CellOwner::restartLeaseEnd(CalendarTime bornAt, Time now) const
+{
+    const auto longest = bySlowestClock(m_bounds.maxHold) + clockMargin;
+    const auto age = m_hooks.calendar() - bornAt;
+    return std::min(now + restartNoticed + longest - age, m_ownedSince + m_bounds.sessionTtl + longest);
+}
+
 /**
  * Updates the known targets from the list of registered ones.
  * @param list All entries that could be read.
@@ -95,6 +114,8 @@
                 .with("used_milli", target.used.coresMilli);
         m_incarnationsChanged
             |= !target.listed || target.entry.machine != entry.machine || target.entry.bornAt != entry.bornAt;
+        if (target.heardAt == Time {})
+            target.lapsesBy = std::max(target.lapsesBy, restartLeaseEnd(entry.bornAt, now));
         target.entry = entry;
         target.listed = true;
     }
@@ -188,7 +209,7 @@
     target.leaseSent = {};
     target.leaseAnswered = {};
     // Lease times on the former clock cannot be compared with the new one, so the longest lease is assumed.
-    target.lapsesBy = now + m_bounds.maxHold + clockMargin;
+    target.lapsesBy = std::max(target.lapsesBy, now + bySlowestClock(m_bounds.maxHold) + clockMargin);
     target.badEnds = 0;
     target.quarantinedUntil = {};
     target.lookSentAt = {};
@@ -305,8 +326,9 @@
     order.sentAt = now;
     if (target.mayAcknowledgeEnds())
         order.endsAcknowledged = target.endsSaved();
-    // A silent target's lease is not renewed, so that its runs can be considered ended once the last lease expires.
-    if (target.clockSeenAt != Time {} && !target.silent()) {
+    // A silent target's lease is not renewed, so that its runs can be considered ended once the last lease expires. The
+    // clock of a target that may have restarted is not known.
+    if (target.clockSeenAt != Time {} && !target.silent() && !target.mayHaveRestarted()) {
         order.leaseUntil = target.clockAtLeast(now) + leaseDuration();
         target.leaseSent = std::max(target.leaseSent, *order.leaseUntil);
     }
--- a/src/cell_recovery.cpp
+++ b/src/cell_recovery.cpp
@@ -62,6 +62,7 @@
                     CellTarget& target = findOrAddTarget(task.recordedTarget);
                     target.entry.machine = task.recordedMachine;
                     target.entry.bornAt = std::max(target.entry.bornAt, task.recordedBornAt);
+                    target.lapsesBy = std::max(target.lapsesBy, restartLeaseEnd(target.entry.bornAt, now));
                     task.target = &target;
                     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recovered, now);
                     occupant.bornAt = task.recordedBornAt;
--- a/tests/test_cell_restart.cpp
+++ b/tests/test_cell_restart.cpp
@@ -152,3 +152,90 @@
         CHECK(test.violations.empty());
     }
 }
+
+namespace {
+
+/**
+ * Targets that restart under their ids while an owner sends them orders by their former clocks. They are cut off soon
+ * after, with runs whose leases no one can see.
+ */
+struct RecutTest : CellWorld {
+    RecutTest()
+    {
+        addTargets(4);
+        lengthOf = [](const CellTaskKey&) { return Duration(40s); };
+        for (auto& [id, target] : targets)
+            target.entry.bornAt = calendarNow();
+        takeOver();
+        run(20100ms); // Their clocks are well ahead of those after a restart.
+    }
+
+    /** The list shows the new incarnations within 0.8 s. */
+    void restartAll()
+    {
+        staleListUntil = now + 100ms;
+        for (auto& [id, target] : targets) {
+            restartTarget(target);
+            target.entry.bornAt = calendarNow();
+        }
+    }
+
+    void setReachable(bool reachable)
+    {
+        for (const char* id : { "t1", "t2" })
+            targets.at(TargetId(id)).reachable = reachable;
+    }
+};
+
+} // namespace
+
+// Guards against running a task twice: an order that named a lease by the clock of a target's former life was shortened
+// to the longest lease only, which the next owner took for one of the usual length.
+TEST_CASE("a new owner waits for the longest lease of a target that restarted shortly before")
+{
+    for (const bool idle : { false, true }) {
+        for (Duration untilCut = 20ms; untilCut < 1500ms; untilCut += 20ms) {
+            RecutTest test;
+            if (!idle) {
+                test.submit("j1", { CellWorld::step(8) });
+                test.run(1s);
+            }
+            test.restartAll();
+            test.submit("j2", { CellWorld::step(8) }); // By the former clock, if the targets were idle.
+            test.run(50ms);
+            test.submit("j3", { CellWorld::step(8) });
+            test.run(untilCut);
+            test.setReachable(false);
+            test.takeOver();
+            test.run(20s);
+            test.setReachable(true);
+            test.run(10s);
+            CAPTURE(idle);
+            CAPTURE(toMs(untilCut));
+            CHECK(test.running("j3") == 8);
+            CHECK(test.violations.empty());
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(RecutTest, "the tasks of a target that did not restart are placed again after the usual lease")
+{
+    submit("j1", { step(8) });
+    run(1s);
+    setReachable(false);
+    takeOver();
+    run(10s);
+    CHECK(startsOf("j1") > 8);
+}
+
+// Guards against leases by the clock of a former incarnation: a target that has left an order unanswered may have
+// restarted.
+TEST_CASE_FIXTURE(RecutTest, "no lease is renewed for a target that may have restarted")
+{
+    submit("j1", { step(8) });
+    run(1s);
+    restartAll(); // Resets the open requests for reports.
+    run(60ms);
+    for (auto& [id, target] : targets)
+        CHECK(target.leaseEnds < now + 7s); // The longest lease is 10 s.
+}
