Fix: members of one run of a gang that failed together used up several attempts (LOST)

What callers saw: a job was shown as failed although it had attempts left. Cause: the failures of all members were added up, and several members of one run can fail before they hear of each other. Now a run counts once, by its number, which is stored with the failure. Ruled out: crashes of targets; the test has none.

Evidence: "members of one run of a gang that fail together use up one attempt" in test_cell_restart failed before.

--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -230,6 +230,7 @@
                 auto& outTask = *outStep.add_tasks();
                 outTask.set_run(task.run);
                 outTask.set_failures(task.failures);
+                outTask.set_last_failed_run(task.lastFailedRun);
                 outTask.set_done(task.done);
                 if (!task.done) {
                     outTask.set_target(task.recordedTarget.value);
@@ -286,6 +287,7 @@
                 TaskState& task = step.tasks[t];
                 task.run = inTask.run();
                 task.failures = inTask.failures();
+                task.lastFailedRun = inTask.last_failed_run();
                 task.done = inTask.done();
                 task.recordedTarget = TargetId(inTask.target());
                 task.recordedBornAt = CalendarTime(ms(inTask.target_born_ms()));
--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -19,7 +19,10 @@
 /** Run number, assigned target, checkpoint and failures of one task. */
 struct TaskState {
     std::uint32_t run = 0; ///< Highest run number that was ever used in a start order.
-    std::uint32_t failures = 0; ///< Number of runs that ended through a fault of the task or of its target.
+    /** Number of runs that ended through a fault of the task or of its target. A run of a gang counts for one member.
+     */
+    std::uint32_t failures = 0;
+    std::uint32_t lastFailedRun = 0; ///< Run number of the last of them.
     std::uint32_t crashes = 0; ///< Number of targets that crashed under a run of this task.
     std::uint32_t crashesAlone = 0; ///< Those of them on which the run certainly was at the crash, and alone.
     bool suspect = false; ///< May be the cause of a crash; its next run gets a target for itself.
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -53,10 +53,17 @@
     StepState& step = *job.step(key.stepKey());
     const StepSpec& spec = job.spec.steps[key.step];
     TaskState& task = step.tasks[key.index];
-    ++task.failures;
     task.avoid.insert(target.id());
+    // All members of a gang have the same run number, and a run of a gang is one attempt however many of them fail.
+    const bool counted = spec.gang && std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskState& member) {
+        return member.lastFailedRun >= task.run;
+    });
+    if (!counted) {
+        ++task.failures;
+        task.lastFailedRun = task.run;
+    }
     std::uint32_t failures = task.failures;
-    if (spec.gang) // When a gang fails, only one member reports a failure.
+    if (spec.gang)
         failures = std::accumulate(step.tasks.begin(), step.tasks.end(), 0U,
             [](std::uint32_t sum, const TaskState& member) { return sum + member.failures; });
     const QueueConfig* queue = queueOf(job);
--- a/tests/test_cell_restart.cpp
+++ b/tests/test_cell_restart.cpp
@@ -239,3 +239,41 @@
     for (auto& [id, target] : targets)
         CHECK(target.leaseEnds < now + 7s); // The longest lease is 10 s.
 }
+
+// Guards against a job that fails with attempts left: each member of a gang that ended failed counted as an attempt,
+// also those of one run.
+TEST_CASE("members of one run of a gang that fail together use up one attempt")
+{
+    for (const bool ownerChanges : { false, true }) {
+        CellWorld test;
+        test.addTargets(4);
+        test.config.queues[0].maxAttempts = 3;
+        test.lengthOf = [](const CellTaskKey&) { return Duration(5s); };
+        test.takeOver();
+        test.run(200ms);
+        StepSpec gang = CellWorld::step(4, 12000);
+        gang.gang = true;
+        test.submit("j1", { gang });
+        for (int attempt = 1; attempt <= 3; ++attempt) {
+            CAPTURE(attempt);
+            CAPTURE(ownerChanges);
+            test.run(2s);
+            REQUIRE(test.running("j1") == 4);
+            CHECK(test.state("j1") == "running");
+            int ended = 0;
+            for (auto& [id, target] : test.targets) {
+                if (target.runs.empty()) // The last failure has ended the job.
+                    continue;
+                const CellTaskKey member = target.runs.begin()->first;
+                test.endRun(target, member, ended < 3 ? EndKind::Failed : EndKind::Broken);
+                if (++ended == 2 && ownerChanges) { // The next owner finds the other ends.
+                    test.run(1s);
+                    test.takeOver();
+                }
+            }
+        }
+        test.run(2s);
+        CHECK(test.state("j1") == "failed");
+        CHECK(test.startsOf("j1") == 12);
+    }
+}
