Add: quick restarts, replacements, cuts after a restart and overlapping stops in the soak of real processes

The soak brought targets back after 0.2 s at the earliest, always by a removed entry, and counted a connection that ended with a stopped host as the host's end. A request that ends without an answer at a host that was told to stop is reported, unless it was sent in the last 0.2 s. A target's answer to a call of its former life is cut off.

--- a/tests/platform_soak/entry_soak.py
+++ b/tests/platform_soak/entry_soak.py
@@ -3,7 +3,7 @@
 
 Each host is an own process on an own loopback address. Its store, advisor and targets lie behind proxies that delay,
 silence, reset or cut connections one way; processes are killed, stopped, paused and restarted by signals; targets crash,
-shrink and leave; tasks crash targets; the store goes down, is slow, loses answers and forgets its history; the
+restart or are replaced at once, shrink and leave; tasks crash targets; the store goes down, is slow, loses answers and forgets its history; the
 configuration and the settings change.
 Only processes that this program started are signalled, by their ids.
 
@@ -26,6 +26,8 @@
 
 CALLER_PORT, READY_PORT, PEER_PORT, STORE_PORT, ADVISOR_PORT, TARGET_PORT = 8161, 8167, 7720, 8190, 8191, 8192
 GRACE_S = 6.0
+DEADLINE_S = 3.0
+LOSS_SLACK_S = 0.2  # A request that a process may not have read before its end.
 QUIET_S = 25.0  # After the last fault: leases of 10 s lapse, and what waits is worked off.
 DEADLY_SHARE = 0.02  # Jobs with a task that crashes its target.
 ENDED = ("completed", "failed", "cancelled")
@@ -41,6 +43,7 @@
         self.process = None
         self.paused = False
         self.wanted = True  # It is meant to run; an end then is the process's own.
+        self.stopping_since = None  # Time of the SIGTERM that ends the present process.
         self.store = Proxy((soak.infra, STORE_PORT))
         self.advisor = Proxy((soak.infra, ADVISOR_PORT))
 
@@ -64,7 +67,7 @@
             self.soak.args.bin, "--config", str(self.soak.out / (self.name + ".json")), "--metrics_port", "9464",
             stdout=log, stderr=log)
         log.close()
-        self.wanted, self.paused = True, False
+        self.wanted, self.paused, self.stopping_since = True, False, None
         self.soak.tasks.append(asyncio.create_task(self.attend(self.process)))
 
     async def attend(self, process):
@@ -82,6 +85,7 @@
             return
         self.wanted = False
         process = self.process
+        self.stopping_since = now() if number == signal.SIGTERM else None
         self.send(number)
         try:
             async with asyncio.timeout(GRACE_S + 0.5):
@@ -115,9 +119,14 @@
     async def call(self, method, job, body=None):
         host = self.rng.choice(self.soak.hosts)
         connection = self.connections.pop(host.ip, None) or Connection(host.ip, CALLER_PORT)
+        sent = now()
         status, answer, _ = await connection.call(
             method, "/q/" + job, body, {"Host": "jobs.test", "Deadline-Ms": "3000"}, timeout=3.5)
         self.connections[host.ip] = connection
+        held = now() - sent
+        if status == 0 and host.stopping_since and LOSS_SLACK_S < held < DEADLINE_S:
+            self.soak.audit.broken(f"LOST: {method} {job} at {host.name} ends without an answer after {held:.2f} s, "
+                                   f"{now() - host.stopping_since:.2f} s after its SIGTERM")
         self.soak.counts[status] = self.soak.counts.get(status, 0) + 1
         return status, answer
 
@@ -315,6 +324,56 @@
             await asyncio.sleep(self.rng.expovariate(1.2))
         await asyncio.gather(*running)
 
+    async def restart_fault(self, rng):
+        """One short outage of targets or a series of stopped hosts, beside which other processes are disturbed."""
+        host, number = rng.choice(self.hosts), rng.randrange(len(self.targets))
+        target, proxy = self.targets[number], self.target_proxies[number]
+        kind = rng.choice(["blink", "blink", "blink_kill", "blink_pause", "recut", "recut", "replace", "overlap"])
+        self.faults.append((round(now() - self.began, 2), kind, host.name, target.name, ""))
+
+        async def blink(back):
+            if target.alive:
+                target.crash(entry_stays=True)
+                await asyncio.sleep(rng.uniform(0.02, 0.9))
+                back()
+
+        async def blinks():
+            for _ in range(rng.randint(1, 4)):
+                await blink(target.restart)
+                await asyncio.sleep(rng.uniform(0.1, 1.0))
+
+        if kind == "blink":
+            await blinks()
+        elif kind == "blink_kill":
+            await asyncio.gather(blinks(), host.restart(signal.SIGKILL, rng.uniform(0.1, 1)))
+        elif kind == "blink_pause":
+            await asyncio.gather(blinks(), host.pause(rng.uniform(0.5, 4)))
+        elif kind == "recut":
+            await blink(target.restart)
+            await asyncio.sleep(rng.uniform(0, 1))
+            kill = asyncio.create_task(host.restart(signal.SIGKILL, 0.3)) if rng.random() < 0.7 else None
+            await asyncio.sleep(rng.uniform(0, 0.5))
+            await self.for_a_while(lambda: proxy.set_mode("silent"), lambda: proxy.set_mode("ok"), 3, 11)
+            if kill:
+                await kill
+        elif kind == "replace":
+            await blink(target.replace)
+        elif kind == "overlap":
+            async def stop(each, delay):
+                await asyncio.sleep(delay)
+                await each.restart(signal.SIGTERM, 0.2)
+            gap = rng.choice([0, 0.3, 1, 2])
+            await asyncio.gather(*(stop(each, index * gap) for index, each in enumerate(self.hosts)))
+
+    async def cause_restarts(self, until):
+        """Begins such faults from a generator of their own, so that older seeds keep their other faults."""
+        rng = random.Random(self.args.seed + 3)
+        running = set()
+        while now() < until:
+            running.add(asyncio.create_task(self.restart_fault(rng)))
+            await asyncio.sleep(rng.expovariate(0.8))
+        await asyncio.gather(*running)
+
     async def resize_targets(self, until):
         """Lets the capacity of targets shrink and grow again."""
         rng = random.Random(self.args.seed + 2)
@@ -361,7 +420,7 @@
         self.began = now()
         await asyncio.sleep(2)
         until = now() + self.args.seconds
-        causing = asyncio.gather(self.cause_faults(until), self.resize_targets(until))
+        causing = asyncio.gather(self.cause_faults(until), self.cause_restarts(until), self.resize_targets(until))
         clients, lives = await self.hand_in(until)
         await causing
         await asyncio.gather(*lives)
--- a/tests/platform_soak/standins.py
+++ b/tests/platform_soak/standins.py
@@ -176,6 +176,7 @@
 
     def __init__(self, name, rng, audit, store, address, capacity):
         self.name, self.rng, self.audit, self.store, self.address = name, rng, audit, store, address
+        self.machine = "m-" + name
         self.capacity = capacity  # cpu, mem_mb
         self.former_capacity, self.resized = capacity, 0  # What the owner may still believe, and since when it is wrong.
         self.draining = False
@@ -206,7 +207,7 @@
                 self.sequence += 1
                 entry = {"service": "svc", "address": self.address, "zone": "z", "version": "v1", "capacity": 8,
                          "state": "draining" if self.draining else "ready", "cold_remaining_ms": 0,
-                         "sequence": self.sequence, "born": self.born, "machine": "m-" + self.name,
+                         "sequence": self.sequence, "born": self.born, "machine": self.machine,
                          "free_resources": {"cpu": self.capacity[0], "mem_mb": self.capacity[1], "gpus": 0},
                          "labels": ["a", "r-" + self.name[-1]]}
                 if self.draining:
@@ -219,12 +220,22 @@
         self.former_capacity = tuple(map(max, self.capacity, self.former_capacity)) if recent else self.capacity
         self.capacity, self.resized = capacity, now()
 
-    def crash(self):
+    def crash(self, entry_stays=False):
         self.alive = False
+        self.news.set()
         for task in list(self.runs):
             self.audit.crashes[task] = self.audit.crashes.get(task, 0) + 1
             self.forget(task)
-        self.store.remove("servers/" + self.name)
+        if not entry_stays:
+            self.store.remove("servers/" + self.name)
+
+    def replace(self):
+        """Another life of the machine serves at the address, under an id of its own; the former entry stays for a while."""
+        if self.alive:  # Another fault has ended the same outage.
+            return
+        asyncio.get_running_loop().call_later(4.5, self.store.remove, "servers/" + self.name)
+        self.name += "'"
+        self.restart()
 
     def crash_by(self, task):
         """Crashes because of a task that has just started, and is back after some seconds."""
@@ -270,8 +281,9 @@
     async def handle(self, _method, path, headers, body):
         if not self.alive:
             raise Cut()
+        life = self.born
         await asyncio.sleep(0.002)
-        if not self.alive:  # Crashed meanwhile.
+        if not self.alive or self.born != life:  # Crashed meanwhile.
             raise Cut()
         if headers.get("target-instance", self.name) != self.name:
             return 421, None, None
