--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -163,6 +163,7 @@
     out.set_job(spec.id.value);
     out.set_queue(spec.queue.value);
     out.set_service(spec.service.value);
+    out.set_account(spec.account.value);
     out.set_payload(spec.payload);
     for (const StepSpec& step : spec.steps)
         stepToProto(step, *out.add_steps());
@@ -178,6 +179,7 @@
     spec.id = JobId(in.job());
     spec.queue = QueueId(in.queue());
     spec.service = ServiceId(in.service());
+    spec.account = AccountId(in.account());
     spec.payload = in.payload();
     for (const proto::CellStepSpec& step : in.steps())
         spec.steps.push_back(stepFromProto(step));
--- a/src/cell_type.cpp
+++ b/src/cell_type.cpp
@@ -38,6 +38,9 @@
     return best;
 }
 
+/** Returns the account with an id, null if the configuration has none. */
+const ClientAccount* CellConfig::account(const AccountId& id) const { return findById(accounts, id); }
+
 /** Returns the name of a state, as used in answers, records and logs. */
 const char* jobStateName(JobState state)
 {
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -18,6 +18,7 @@
 
 using QueueId = TextId<struct QueueTag>;
 using ServiceId = TextId<struct ServiceTag>;
+using AccountId = TextId<struct AccountTag>; ///< A client account; empty for work that belongs to none.
 using MachineId = TextId<struct MachineTag>; ///< Hardware of a target; unchanged by restarts of the target.
 using FencingToken = NumberId<struct FencingTokenTag>; ///< Increases with each new owner of the cell.
 using CalendarTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
@@ -48,6 +49,7 @@
     std::uint32_t maxAttempts = 1; ///< Failed runs of a task after which its job fails.
     double slackFactor = 1; ///< A job's critical path is multiplied by this factor to give its objective.
     std::optional<AdvisorTraits> advisor; ///< Set if an advisor decides which targets may run a step.
+    bool requiresKey = false; ///< Requests must carry a key of a client account.
 };
 
 /** A service: the pool of targets that run the tasks of some queues. */
@@ -57,15 +59,25 @@
     bool standby = false; ///< Machines of this service are powered off and cost nothing.
 };
 
+/** A client account: callers that share keys, a weight and a quota. */
+struct ClientAccount {
+    AccountId id;
+    std::vector<std::string> keys; ///< API keys; each identifies a caller as belonging to the account.
+    double weight = 1; ///< Share of a full cell, and jobs per second that the account may expect to be served then.
+    Resources maximum; ///< Resources that its tasks may hold at once on all targets; 0 for no limit.
+};
+
 /** Configuration of the cell, as set by the operator. */
 struct CellConfig {
     std::uint64_t version = 0;
     std::vector<QueueConfig> queues;
     std::vector<ServiceConfig> services;
+    std::vector<ClientAccount> accounts; ///< Empty if the cell has no client accounts.
     std::size_t maxBodyBytes = 262144; ///< Maximum size of a request body.
 
     const QueueConfig* queue(const QueueId& id) const;
     const ServiceConfig* service(const ServiceId& id) const;
+    const ClientAccount* account(const AccountId& id) const;
     const QueueConfig* match(const std::string& host, const std::string& path) const;
 };
 
@@ -106,6 +118,7 @@
     JobId id;
     QueueId queue;
     ServiceId service; ///< Service of the queue at the time the job was accepted.
+    AccountId account; ///< Account whose key the submission carried.
     std::string payload; ///< Passed unchanged to each task.
     std::vector<StepSpec> steps;
     JobSchedule schedule;
