Add: keys of client accounts at the door, and the account on jobs

A configuration with accounts demands a key on all queues but public ones, and nothing checked it. Each host now finds the account of an Authorization value in the configuration that it has (AccountKeys) and answers 401 otherwise, with a log line without the key. A kept header that was sent twice is marked by the listener. The account goes to the owner with each call and into the job's record, and a GET, DELETE or POST of another account's job is answered 403, also when the state is read from the store, and also by way of a public queue.

The comparison of quotas moves from quota.cpp to Resources, for both users.

--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -215,6 +215,7 @@
     proto::CellJobRecord record;
     record.set_job(job.spec.id.value);
     record.set_queue(job.spec.queue.value);
+    record.set_account(job.spec.account.value);
     record.set_state(static_cast<std::uint32_t>(job.state));
     record.set_begun(job.begun);
     // For a host of an earlier version that takes the cell over.
@@ -264,6 +265,8 @@
         return false;
     job.spec.id = JobId(record.job());
     job.spec.queue = QueueId(record.queue());
+    if (!record.account().empty()) // Records of an earlier version have none.
+        job.spec.account = AccountId(record.account());
     job.state = static_cast<JobState>(record.state());
     job.shownState = job.state;
     job.stored = true;
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -256,6 +256,7 @@
     LogLine(LogLevel::Info, "job_taken")
         .with("job", job.spec.id)
         .with("queue", job.spec.queue)
+        .with("account", job.spec.account)
         .with("steps", job.spec.steps.size())
         .with("config", m_config.version);
     activateJob(job, now);
@@ -396,6 +397,36 @@
     return job->begun ? JobState::Running : JobState::Queued;
 }
 
+/**
+ * Returns whether a request may read, cancel or repeat a job. A job of another account is open to it only if neither
+ * the queue of the request nor that of the job requires a key.
+ * @param route Queue that the request has selected.
+ * @param holder Account of the job; empty if it belongs to none.
+ */
+bool CellOwner::mayAccess(
+    const AccountId& asking, const QueueId& route, const AccountId& holder, const QueueId& jobQueue) const
+{
+    const auto requiresKey = [this](const QueueId& id) {
+        const auto it = m_queues.find(id);
+        return it != m_queues.end() && it->second.requiresKey;
+    };
+    return holder.empty() || holder == asking || (!requiresKey(route) && !requiresKey(jobQueue));
+}
+
+/** Returns whether a request may read, cancel or repeat a job, as mayAccess(); true for a job that is not known. */
+bool CellOwner::mayAccessJob(const AccountId& asking, const QueueId& route, const JobId& id) const
+{
+    const CellJob* job = findJob(id);
+    if (!job || mayAccess(asking, route, job->spec.account, job->spec.queue))
+        return true;
+    LogLine(LogLevel::Info, "job_access_refused")
+        .with("job", id)
+        .with("account", asking)
+        .with("holder", job->spec.account)
+        .with("queue", route);
+    return false;
+}
+
 /** Counts the stored, unfinished jobs of a queue of which no task has started. */
 std::uint64_t CellOwner::pending(const QueueId& queue) const
 {
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -72,6 +72,7 @@
         Refused, ///< Submission not accepted; no task of the job has run or will run. Cancellations are never refused.
         Unknown, ///< May or may not be stored; the caller should repeat the request.
         Gone, ///< No such job.
+        Forbidden, ///< The job belongs to another account.
     };
     Kind kind = Kind::Unknown;
     std::chrono::milliseconds retryAfter { 0 }; ///< With Refused: delay before the next attempt.
@@ -115,6 +116,9 @@
     void cancel(const JobId& id, Time now, JobReply reply);
     std::optional<JobState> state(const JobId& id) const;
     std::uint64_t pending(const QueueId& queue) const;
+    bool mayAccess(
+        const AccountId& asking, const QueueId& route, const AccountId& holder, const QueueId& jobQueue) const;
+    bool mayAccessJob(const AccountId& asking, const QueueId& route, const JobId& id) const;
 
     void targetsListed(const TargetList& list, bool settled, Time now);
     void onStarted(
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -46,6 +46,8 @@
     , m_relay(m_hooks.callTarget, m_settings.instance)
     , m_forwarded(metrics.counter("sp_entry_forwarded_total", "Requests passed to the owner of the cell."))
     , m_uncertain(metrics.counter("sp_entry_uncertain_total", "Requests answered without knowing their outcome."))
+    , m_unauthorized(metrics.counter("sp_entry_unauthorized_total", "Requests refused for lack of a valid key."))
+    , m_forbidden(metrics.counter("sp_entry_forbidden_total", "Requests about a job of another account."))
     , m_requestSeconds(metrics.histogram("sp_entry_request_seconds", "Time from a caller's request to its answer."))
     , m_turnSeconds(metrics.histogram("sp_loop_turn_seconds", "Duration of a turn of the event loop."))
     , m_lagMicroseconds(
@@ -164,11 +166,37 @@
         .with("version", config->version)
         .with("before", m_config ? m_config->version : 0)
         .with("queues", config->queues.size())
+        .with("accounts", config->accounts.size())
         .with("revision", item->modRevision);
     m_config = std::move(config);
+    m_accountKeys = AccountKeys(m_config->accounts);
+    for (const auto& [first, second] : m_accountKeys.sharing())
+        LogLine(LogLevel::Error, "account_key_shared")
+            .with("account", first)
+            .with("other", second)
+            .with("version", m_config->version);
     m_owner.setConfig(*m_config);
 }
 
+/**
+ * Finds the account of a request and logs a refusal. A queue that requires no key refuses none.
+ * @param authorization Value of the request's `Authorization` header, unset if it has none.
+ * @param repeated The header was sent more than once.
+ */
+AccountKeys::Match EntryNode::identify(
+    const QueueConfig& queue, const std::optional<std::string>& authorization, bool repeated) const
+{
+    const AccountKeys::Match match = m_accountKeys.find(authorization, repeated);
+    if (queue.requiresKey && match.verdict != KeyVerdict::Found) {
+        m_unauthorized.add();
+        LogLine(LogLevel::Info, "key_refused")
+            .with("queue", queue.id)
+            .with("reason", keyVerdictText(match.verdict))
+            .with("config", m_config ? m_config->version : 0);
+    }
+    return match;
+}
+
 /**
  * Handles a caller's request.
  * @param request Request for a queue that exists in the configuration.
@@ -202,13 +230,16 @@
     m_requestSeconds.record(took);
     if (result.kind == CallerResult::Kind::Uncertain)
         m_uncertain.add();
+    if (result.kind == CallerResult::Kind::Forbidden)
+        m_forbidden.add();
     if (result.kind != CallerResult::Kind::Done || pending->request.action == CallerAction::Submit
         || pending->request.action == CallerAction::Cancel) {
         static constexpr std::array<const char*, 4> actions { "submit", "state", "cancel", "count" };
-        static constexpr std::array<const char*, 4> kinds { "done", "refused", "uncertain", "gone" };
+        static constexpr std::array<const char*, 5> kinds { "done", "refused", "uncertain", "gone", "forbidden" };
         LogLine(result.kind == CallerResult::Kind::Uncertain ? LogLevel::Warning : LogLevel::Info, "request_answered")
             .with("job", pending->request.job)
             .with("action", actions[static_cast<std::size_t>(pending->request.action)])
+            .with("account", pending->request.account)
             .with("result", kinds[static_cast<std::size_t>(result.kind)])
             .with("reason", result.reason)
             .with("tries", pending->attempts)
@@ -229,6 +260,7 @@
     call.set_config_version(m_config ? m_config->version : 0);
     call.set_queue(request.queue.value);
     call.set_job(request.job.value);
+    call.set_account(request.account.value);
     if (request.spec)
         toProto(*request.spec, *call.mutable_spec());
     ++pending->attempts;
@@ -274,6 +306,9 @@
     case proto::OwnerAnswer::GONE:
         result.kind = CallerResult::Kind::Gone;
         break;
+    case proto::OwnerAnswer::FORBIDDEN:
+        result.kind = CallerResult::Kind::Forbidden;
+        break;
     case proto::OwnerAnswer::REFUSED:
         result.kind = pending->maybeExecuted ? CallerResult::Kind::Uncertain : CallerResult::Kind::Refused;
         result.retryAfter = std::chrono::milliseconds(answer.retry_after_ms());
@@ -383,6 +418,9 @@
                 LogLine(LogLevel::Error, "job_record_unreadable").with("job", pending->request.job);
                 result.kind = CallerResult::Kind::Refused;
                 result.retryAfter = noOwnerRetryAfter;
+            } else if (!m_owner.mayAccess(pending->request.account, pending->request.queue, AccountId(record.account()),
+                           QueueId(record.queue()))) {
+                result.kind = CallerResult::Kind::Forbidden;
             } else {
                 result.kind = CallerResult::Kind::Done;
                 result.state = jobStateName(static_cast<JobState>(record.state()));
@@ -419,20 +457,30 @@
     }
     const auto replyJob = [reply](JobAnswer&& job) {
         proto::OwnerAnswer out;
-        static constexpr std::array<proto::OwnerAnswer::Status, 4> statuses { proto::OwnerAnswer::OK,
-            proto::OwnerAnswer::REFUSED, proto::OwnerAnswer::UNKNOWN, proto::OwnerAnswer::GONE };
+        static constexpr std::array<proto::OwnerAnswer::Status, 5> statuses { proto::OwnerAnswer::OK,
+            proto::OwnerAnswer::REFUSED, proto::OwnerAnswer::UNKNOWN, proto::OwnerAnswer::GONE,
+            proto::OwnerAnswer::FORBIDDEN };
         out.set_status(statuses[static_cast<std::size_t>(job.kind)]);
         out.set_retry_after_ms(static_cast<std::uint32_t>(job.retryAfter.count()));
         out.set_reason(job.reason);
         reply(out);
     };
     answer.set_status(proto::OwnerAnswer::OK);
+    const AccountId account(call.account());
+    if (call.kind() != proto::OwnerCall::COUNT
+        && !m_owner.mayAccessJob(account, QueueId(call.queue()), JobId(call.job()))) {
+        answer.set_status(proto::OwnerAnswer::FORBIDDEN);
+        answer.set_reason("the job belongs to another account");
+        reply(answer);
+        return;
+    }
     switch (call.kind()) {
     case proto::OwnerCall::SUBMIT: {
         CellJobSpec spec = fromProto(call.spec());
         // Replaces the forwarding host's value, since the owner's configuration is at least as new.
         if (const QueueConfig* queue = m_config->queue(spec.queue))
             spec.service = queue->service;
+        spec.account = account;
         m_owner.submit(std::move(spec), now, replyJob);
         return;
     }
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -1,6 +1,7 @@
 /** @file entry_node.h Entry host: serves callers' requests as owner of the cell or forwards them to the owner. */
 #pragma once
 
+#include "account_keys.h"
 #include "advice_broker.h"
 #include "cell_owner.h"
 #include "cell_session.h"
@@ -31,6 +32,7 @@
 
 struct CallerRequest {
     CallerAction action = CallerAction::State;
+    AccountId account; ///< Account whose key the request carried; empty for none.
     QueueId queue;
     JobId job; ///< Empty for Count.
     std::optional<CellJobSpec> spec; ///< Set for Submit only.
@@ -45,6 +47,7 @@
         Refused, ///< The request was not and will not be executed.
         Uncertain, ///< The request may have been executed; it is safe to repeat.
         Gone, ///< The job does not exist.
+        Forbidden, ///< The job belongs to another account.
     };
     Kind kind = Kind::Uncertain;
     std::string state; ///< Name of the job's state; set for State only.
@@ -92,6 +95,8 @@
     void handle(CallerRequest&& request, CallerReply reply);
     void handlePeer(ServedCall&& call, HttpListener::Reply reply);
     const CellConfig* config() const { return m_config ? &*m_config : nullptr; }
+    AccountKeys::Match identify(
+        const QueueConfig& queue, const std::optional<std::string>& authorization, bool repeated) const;
     bool ready(Time now, std::string& reason) const;
     void drain(Time answerBy);
     bool draining() const { return m_answerBy.has_value(); }
@@ -149,6 +154,7 @@
     const EntryNodeConfig m_settings;
     const EntryNodeHooks m_hooks;
     std::optional<CellConfig> m_config;
+    AccountKeys m_accountKeys; ///< Of m_config.
     RecordLog m_recordLog;
     CellOwner m_owner;
     CellSession m_session;
@@ -191,6 +197,8 @@
     std::optional<Time> m_answerBy; ///< Set while the process shuts down: no request waits longer than this.
     Counter& m_forwarded;
     Counter& m_uncertain;
+    Counter& m_unauthorized;
+    Counter& m_forbidden;
     Histogram& m_requestSeconds;
     Histogram& m_turnSeconds;
     Gauge& m_lagMicroseconds;
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <cstring>
 #include <microhttpd.h>
+#include <strings.h>
 
 namespace sp {
 
@@ -67,14 +68,23 @@
         call->connection = connection;
         call->request.method = method;
         call->request.path = url;
-        for (const std::string& name : listener.m_config.keepHeaders) {
-            if (const char* value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name.c_str()))
-                call->request.headers.emplace(name, value);
-        }
+        MHD_get_connection_values_n(connection, MHD_HEADER_KIND, &Callbacks::keepHeader, call.get());
         listener.m_calls.insert(call.get());
         return new CallPointer(std::move(call));
     }
 
+    static MHD_Result keepHeader(void* state, MHD_ValueKind /*kind*/, const char* name, std::size_t nameSize,
+        const char* value, std::size_t valueSize)
+    {
+        auto& call = *static_cast<Call*>(state);
+        for (const std::string& kept : call.listener->m_config.keepHeaders) {
+            if (kept.size() == nameSize && strncasecmp(kept.c_str(), name, nameSize) == 0
+                && !call.request.headers.emplace(kept, value ? std::string(value, valueSize) : std::string()).second)
+                call.request.repeatedHeaders.insert(kept);
+        }
+        return MHD_YES;
+    }
+
     static void handle(HttpListener& listener, const CallPointer& call)
     {
         call->handled = true;
@@ -106,6 +116,8 @@
             answer.body.size(), const_cast<char*>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
         if (!answer.body.empty())
             MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, answer.contentType.c_str());
+        if (answer.status == MHD_HTTP_UNAUTHORIZED) // Demanded by RFC 7235.
+            MHD_add_response_header(response, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "Bearer");
         if (answer.retryAfter)
             MHD_add_response_header(
                 response, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(answer.retryAfter->count()).c_str());
--- a/src/http_listener.h
+++ b/src/http_listener.h
@@ -19,7 +19,9 @@
 struct ServedCall {
     std::string method;
     std::string path; ///< Without the query.
-    std::map<std::string, std::string> headers; ///< Those that the listener keeps, by the names it was given.
+    /** Those that the listener keeps, by the names it was given; of a repeated one the first. */
+    std::map<std::string, std::string> headers;
+    std::set<std::string> repeatedHeaders; ///< Names of kept headers that were sent more than once.
     std::string body;
     Time receivedAt {};
 
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -5,18 +5,6 @@
 
 namespace sp {
 
-namespace {
-
-    bool exceedsQuota(std::int64_t used, std::int64_t quota) { return quota > 0 && used > quota; }
-
-    bool exceedsQuota(const Resources& used, const Resources& quota)
-    {
-        return exceedsQuota(used.coresMilli, quota.coresMilli) || exceedsQuota(used.memoryMb, quota.memoryMb)
-            || exceedsQuota(used.accelerators, quota.accelerators);
-    }
-
-} // namespace
-
 /** Applies weights and quotas. @param shardShare Fraction of each quota that this shard grants. */
 void Quota::applyPolicy(const Bundle& bundle, double shardShare)
 {
@@ -44,7 +32,7 @@
 QuotaVerdict Quota::check(TeamIndex team, const Resources& size, bool mayBorrow) const
 {
     const Team& state = m_teams[team];
-    if (!exceedsQuota(state.used + size, state.quota))
+    if ((state.used + size).withinLimit(state.quota))
         return QuotaVerdict::Within;
     return mayBorrow ? QuotaVerdict::Borrows : QuotaVerdict::Denied;
 }
@@ -52,7 +40,7 @@
 /** Returns whether the size is within the quota of a team that uses nothing else. */
 bool Quota::fitsQuotaAlone(TeamIndex team, const Resources& size) const
 {
-    return !exceedsQuota(size, m_teams[team].quota);
+    return size.withinLimit(m_teams[team].quota);
 }
 
 /** Returns whether any team exceeds its quota. */
--- a/src/resource_type.h
+++ b/src/resource_type.h
@@ -23,6 +23,14 @@
         return coresMilli <= room.coresMilli && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
     }
 
+    /** Whether this amount is within a limit, in which 0 means that a resource is not limited. */
+    constexpr bool withinLimit(const Resources& limit) const
+    {
+        const auto within = [](std::int64_t amount, std::int64_t most) { return most <= 0 || amount <= most; };
+        return within(coresMilli, limit.coresMilli) && within(memoryMb, limit.memoryMb)
+            && within(accelerators, limit.accelerators);
+    }
+
     constexpr Resources& operator+=(const Resources& other)
     {
         coresMilli += other.coresMilli;
@@ -40,6 +48,10 @@
     }
 
     friend constexpr Resources operator+(Resources left, const Resources& right) { return left += right; }
+    friend constexpr Resources operator*(const Resources& amount, std::int64_t factor)
+    {
+        return { amount.coresMilli * factor, amount.memoryMb * factor, amount.accelerators * factor };
+    }
     friend constexpr Resources operator-(Resources left, const Resources& right) { return left -= right; }
 };
 
--- a/tests/test_entry_node.cpp
+++ b/tests/test_entry_node.cpp
@@ -1,6 +1,7 @@
 #include "doctest_main.h"
 
 #include "entry_node.h"
+#include "front.h"
 #include "proto/cell.pb.h"
 
 #include <deque>
@@ -27,6 +28,7 @@
     std::deque<std::function<void(TargetList)>> lists;
     std::deque<TargetOrderCall> orders;
     std::uint64_t revision = 10;
+    std::map<std::string, CellConfig> configs; ///< Configurations by their texts in the store.
     Metrics metrics;
     EntryNode node;
 
@@ -52,7 +54,9 @@
         hooks.storeWatch = [this](StoreWatch&&, std::function<void(StoreWatchReply &&)> reply) {
             watches.push_back(std::move(reply));
         };
-        hooks.decodeConfig = [](const std::string&) {
+        hooks.decodeConfig = [this](const std::string& value) {
+            if (const auto it = configs.find(value); it != configs.end())
+                return std::optional(it->second);
             CellConfig cell;
             cell.version = 1;
             QueueConfig queue;
@@ -352,3 +356,193 @@
     pass(300ms);
     CHECK(answers == std::vector<CallerResult::Kind> { CallerResult::Kind::Uncertain });
 }
+
+namespace {
+
+/** Requests that carry keys of accounts. */
+struct AccountTest : Fixture {
+    static CellConfig accountConfig(std::uint64_t version, const std::string& keyOfA)
+    {
+        CellConfig cell;
+        cell.version = version;
+        QueueConfig queue;
+        queue.id = QueueId("q");
+        queue.host = "h";
+        queue.prefix = "/q/";
+        queue.service = ServiceId("s");
+        queue.requiresKey = true;
+        QueueConfig open = queue;
+        open.id = QueueId("open");
+        open.prefix = "/open/";
+        open.requiresKey = false;
+        cell.queues = { queue, open };
+        cell.services = { { ServiceId("s"), false, false } };
+        ClientAccount first;
+        first.id = AccountId("a");
+        first.keys = { keyOfA };
+        ClientAccount second;
+        second.id = AccountId("b");
+        second.keys = { "key-b" };
+        cell.accounts = { first, second };
+        return cell;
+    }
+
+    AccountTest()
+    {
+        configs["c"] = accountConfig(1, "key-a");
+        winCell();
+        beginOwnership();
+        advance(20ms);
+        reportFromTarget();
+    }
+
+    /** Passes a new value of the configuration's key to the host. */
+    void putConfig(const std::string& text)
+    {
+        REQUIRE(!watches.empty());
+        StoreWatchReply reply;
+        reply.status = StoreStatus::Ok;
+        reply.changes.revision = Revision(++revision);
+        reply.changes.puts = { { "config/cell", text, reply.changes.revision } };
+        const auto watch = std::move(watches.front());
+        watches.pop_front();
+        watch(std::move(reply));
+    }
+
+    ServedCall call(const std::string& method, const std::string& path, const std::string& key) const
+    {
+        ServedCall request;
+        request.method = method;
+        request.path = path;
+        request.headers = { { "Host", "h:80" } };
+        if (!key.empty())
+            request.headers["Authorization"] = "Bearer " + key;
+        if (method == "POST")
+            request.body = R"({"stages":[{"task_count":1,"cpu":1000,"mem_mb":1000,"est_ms":500}]})";
+        request.receivedAt = now;
+        return request;
+    }
+
+    /** Returns the status of the answer to a request, 0 if there is none yet. */
+    int serve(ServedCall&& request)
+    {
+        const auto status = std::make_shared<int>(0);
+        platform::serveCaller(node, std::move(request), [status, this](ServedAnswer&& answer) {
+            *status = answer.status;
+            lastAnswer = answer.body;
+        });
+        for (int i = 0; i < 5 && *status == 0; ++i) {
+            advance(20ms);
+            answerAll<StoreTxn>(ok());
+        }
+        return *status;
+    }
+
+    /** Lets the account a submit a job that is stored. */
+    void submitAsA(const std::string& id)
+    {
+        CallerRequest request;
+        request.action = CallerAction::Submit;
+        request.account = AccountId("a");
+        request.queue = QueueId("q");
+        request.job = JobId(id);
+        request.receivedAt = now;
+        request.patience = 3s;
+        CellJobSpec spec;
+        spec.id = request.job;
+        spec.queue = request.queue;
+        StepSpec step;
+        step.tasks = 1;
+        step.demand = { 1000, 1000, 0 };
+        spec.steps = { step };
+        request.spec = spec;
+        std::optional<CallerResult::Kind> kind;
+        node.handle(std::move(request), [&](CallerResult&& result) { kind = result.kind; });
+        for (int i = 0; i < 5 && !kind; ++i) {
+            advance(20ms);
+            answerAll<StoreTxn>(ok());
+        }
+        REQUIRE(kind == CallerResult::Kind::Done);
+    }
+
+    std::string lastAnswer;
+};
+
+} // namespace
+
+// Guards against calls that are served without a key, and against an answer or a refusal of calls that need none.
+TEST_CASE_FIXTURE(AccountTest, "calls to a queue that requires a key are answered 401 without a valid one")
+{
+    CHECK(serve(call("GET", "/q/", "")) == 401);
+    CHECK(lastAnswer == R"({"error":"no Authorization header"})");
+    CHECK(serve(call("GET", "/q/", "wrong")) == 401);
+    CHECK(serve(call("DELETE", "/q/abcdef0123456789", "wrong")) == 401);
+    CHECK(serve(call("POST", "/q/abcdef0123456789", "")) == 401);
+    CHECK(serve(call("PUT", "/q/abcdef0123456789", "")) == 401);
+    CHECK(lastAnswer.find("wrong") == std::string::npos);
+    ServedCall repeated = call("GET", "/q/", "key-a");
+    repeated.repeatedHeaders.insert("Authorization");
+    CHECK(serve(std::move(repeated)) == 401);
+    CHECK(serve(call("GET", "/q/", "key-a")) == 200);
+    CHECK(serve(call("GET", "/open/", "")) == 200);
+    CHECK(serve(call("GET", "/open/", "wrong")) == 200);
+    CHECK(serve(call("GET", "/other/", "key-a")) == 404);
+}
+
+// Guards against an account that reads or cancels the work of another, also by way of a queue that needs no key.
+TEST_CASE_FIXTURE(AccountTest, "a job of another account is answered 403")
+{
+    const std::string id = "abcdef0123456789";
+    submitAsA(id);
+    CHECK(serve(call("GET", "/q/" + id, "key-b")) == 403);
+    CHECK(serve(call("DELETE", "/q/" + id, "key-b")) == 403);
+    CHECK(serve(call("DELETE", "/open/" + id, "")) == 403);
+    CHECK(serve(call("DELETE", "/open/" + id, "key-b")) == 403);
+    CHECK(serve(call("GET", "/q/" + id, "key-a")) == 200);
+    submitAsA(id); // The same job.
+    CHECK(serve(call("GET", "/q/0123456789abcdef", "key-b")) == 410);
+    CHECK(serve(call("DELETE", "/q/" + id, "key-a")) == 200);
+    CHECK(serve(call("GET", "/q/" + id, "key-b")) == 403);
+}
+
+// Guards against keys that stay in force after a newer configuration, or come back with an older one.
+TEST_CASE_FIXTURE(AccountTest, "keys change with the configuration and never go back")
+{
+    configs["d"] = accountConfig(2, "key-2");
+    configs["e"] = accountConfig(3, "key-3");
+    putConfig("d");
+    CHECK(serve(call("GET", "/q/", "key-a")) == 401);
+    CHECK(serve(call("GET", "/q/", "key-2")) == 200);
+    putConfig("e");
+    putConfig("d");
+    CHECK(serve(call("GET", "/q/", "key-2")) == 401);
+    CHECK(serve(call("GET", "/q/", "key-3")) == 200);
+}
+
+// Guards against the answer from the store, given while there is no owner, that passes over the account.
+TEST_CASE("the state of another account's job is not read from the store either")
+{
+    AccountTest test;
+    CellJob job;
+    job.spec.id = JobId("abcdef0123456789");
+    job.spec.queue = QueueId("q");
+    job.spec.account = AccountId("a");
+    job.state = JobState::Completed;
+    const std::string record = encodeJobRecord(job);
+    CellJob decoded;
+    REQUIRE(decodeJobRecord(record, decoded));
+    CHECK(decoded.spec.account == AccountId("a"));
+    test.node.handleCallbackFailure(); // Gives the cell up.
+    for (const auto& [key, status] : { std::pair("key-b", 403), std::pair("key-a", 200) }) {
+        const auto answered = std::make_shared<int>(0);
+        platform::serveCaller(test.node, test.call("GET", "/q/abcdef0123456789", key),
+            [answered](ServedAnswer&& answer) { *answered = answer.status; });
+        for (int i = 0; i < 400 && *answered == 0; ++i) {
+            test.advance(20ms);
+            test.answerAll<StoreLeaseGrant>(test.ok());
+            test.answerAll<StoreLeaseKeepAlive>(test.ok());
+            test.answerAll<StoreRange>(test.ok({ { "cell/job/abcdef0123456789", record, Revision(5) } }));
+        }
+        CHECK(*answered == status);
+    }
+}
--- a/tests/test_http_listener.cpp
+++ b/tests/test_http_listener.cpp
@@ -124,3 +124,25 @@
     timely.sendBefore = BootClock::now() + 5s;
     CHECK(callListener(listener, client, std::move(timely)).status == 200);
 }
+
+// Guards against a request whose key is not certain: libmicrohttpd returns the first of several headers.
+TEST_CASE("a listener passes kept headers on and marks those that were sent twice")
+{
+    HttpClient client(HttpClient::Limits {});
+    ServedCall seen;
+    HttpListener listener({ "127.0.0.1:0", { "Authorization", "Deadline-Ms" } },
+        [&](ServedCall&& call, const HttpListener::Reply& reply) {
+            seen = std::move(call);
+            reply({ 401, {}, "text/plain", {} });
+        });
+    std::string problem;
+    REQUIRE(listener.start(problem));
+    HttpRequest request;
+    request.headers = { "authorization: Bearer a", "Deadline-Ms: 5", "AUTHORIZATION: Bearer b", "Other: x" };
+    const HttpResult result = callListener(listener, client, std::move(request));
+    CHECK(result.header("www-authenticate") == std::optional<std::string>("Bearer"));
+    CHECK(seen.header("Authorization") == "Bearer a");
+    CHECK(seen.header("Deadline-Ms") == "5");
+    CHECK(seen.headers.size() == 2);
+    CHECK(seen.repeatedHeaders == std::set<std::string> { "Authorization" });
+}
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -283,6 +283,32 @@
         [] { FAIL("not decoded"); });
 }
 
+// Guards against routes that are open although the configuration has accounts, and the other way round.
+TEST_CASE("with accounts in the configuration all queues but public ones require a key")
+{
+    const std::string routes = R"({"version":7,"services":[],"routes":[
+        {"name":"q1","host":"h","prefix":"/a/","service":"s"},
+        {"name":"q2","host":"h","prefix":"/b/","service":"s","public":true}])";
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            const CellConfig config = valueOf(
+                decodeConfig(routes + R"(,"tenants":[{"name":"t1","api_keys":["k1","k2"],"weight":2.5,"priority":3,
+                    "maximum":{"cpu":4000,"mem_mb":0,"gpus":1}},{"name":"t2"}]})"));
+            REQUIRE(config.accounts.size() == 2);
+            const ClientAccount& account = *config.account(AccountId("t1"));
+            CHECK(account.keys == std::vector<std::string> { "k1", "k2" });
+            CHECK(account.weight == 2.5);
+            CHECK(account.maximum == Resources { 4000, 0, 1 });
+            CHECK(config.account(AccountId("t2"))->maximum == Resources {});
+            CHECK(config.queues[0].requiresKey);
+            CHECK_FALSE(config.queues[1].requiresKey);
+            CHECK(valueOf(decodeConfig(routes + R"(,"tenants":[]})")).queues[0].requiresKey);
+            CHECK_FALSE(valueOf(decodeConfig(routes + "}")).queues[0].requiresKey);
+            return {};
+        },
+        [] { FAIL("not decoded"); });
+}
+
 // The result used to be made before anything waited for its error, and the reason was gone.
 TEST_CASE("a body that can't be read comes with a reason")
 {
