Add: order of the queue by band and value per core-second

Cause: steps were ordered by the end of the objective, so that after a burst all overdue jobs stayed ahead of every new one, and every job was late.

Change: with client accounts in the configuration, steps and advisor questions of a priority are ordered by WorkRank: jobs that can still complete in time (half of the slack kept as a margin for estimates), then late ones, then those that are worth nothing any more or beyond the rate of their account; within a band less remaining work first, begun jobs before others, oldest first. A question whose step has fallen into a later band is asked again at its new place. Without accounts the order is as before.

--- a/src/advice_broker.cpp
+++ b/src/advice_broker.cpp
@@ -36,11 +36,12 @@
 
 bool AdviceBroker::isLong(const AdviceQuestion& question) { return question.callTime >= longCallThreshold; }
 
-/** Adds a question, ordered by priority and then by AdviceQuestion::order, and sends it if a host is free. */
+/** Adds a question, ordered by priority, rank and then by AdviceQuestion::order, and sends it if a host is free. */
 void AdviceBroker::ask(const AdviceQuestion& question, Time now)
 {
     const auto precedes = [](const AdviceQuestion& added, const WaitingQuestion& waiting) {
-        return std::tie(added.priority, added.order) < std::tie(waiting.question.priority, waiting.question.order);
+        return std::tie(added.priority, added.rank, added.order)
+            < std::tie(waiting.question.priority, waiting.question.rank, waiting.question.order);
     };
     m_waitingQuestions.insert(
         std::upper_bound(m_waitingQuestions.begin(), m_waitingQuestions.end(), question, precedes),
--- a/src/advice_broker.h
+++ b/src/advice_broker.h
@@ -62,7 +62,7 @@
 
     const AdviceBrokerHooks m_hooks;
     std::map<HostId, Host> m_hosts;
-    Waiting m_waitingQuestions; ///< By priority and then by AdviceQuestion::order.
+    Waiting m_waitingQuestions; ///< By priority, rank and then by AdviceQuestion::order.
     std::map<std::uint64_t, CallInFlight> m_callsInFlight;
     std::uint64_t m_lastCallId = 0;
     std::uint64_t m_lastSerial = 0;
--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -134,6 +134,35 @@
     return longest;
 }
 
+/**
+ * Computes what is left to do of an occurrence.
+ * @param perStep Overhead added for each step that has not begun, such as the time of a call to the advisor.
+ */
+RemainingWork remainingWork(
+    const std::vector<StepSpec>& steps, const OccurrenceState& occurrence, std::chrono::milliseconds perStep)
+{
+    RemainingWork remaining;
+    std::vector<std::chrono::milliseconds> ends(steps.size());
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        const StepState& state = occurrence.steps[i];
+        if (state.complete())
+            continue;
+        std::int64_t waiting = 0;
+        bool begun = false;
+        for (const TaskState& task : state.tasks) {
+            waiting += task.waiting() ? 1 : 0;
+            begun |= task.run > 0;
+        }
+        std::chrono::milliseconds begin { 0 };
+        for (const std::uint32_t dependency : steps[i].after)
+            begin = std::max(begin, ends[dependency]);
+        ends[i] = begin + steps[i].estimate + (begun ? std::chrono::milliseconds(0) : perStep);
+        remaining.path = std::max(remaining.path, ends[i]);
+        remaining.coreMs += waiting * steps[i].demand.coresMilli * steps[i].estimate.count() / 1000;
+    }
+    return remaining;
+}
+
 /** Checks a job for errors that prevent it from running on any target. Returns the first error, if there is one. */
 std::optional<std::string> jobSpecProblem(const CellJobSpec& spec)
 {
--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -93,6 +93,8 @@
     CalendarTime acceptedAt {};
     /** Maximum time from submission to completion at which the job still has its full value. */
     std::chrono::milliseconds objective { 0 };
+    /** Submitted beyond the usual rate of its account. Known to the owner that accepted the job only. */
+    bool beyondRate = false;
     Time finishedAt {};
 
     // State of writing the job's record and specification to the store.
@@ -126,6 +128,14 @@
     bool allOccurrencesEnded() const;
 };
 
+/** Work of an occurrence that is still to be done. */
+struct RemainingWork {
+    std::chrono::milliseconds path { 0 }; ///< Critical path of the steps that are not complete.
+    std::int64_t coreMs = 0; ///< Core-milliseconds of the tasks that wait for placement, by estimate.
+};
+
+RemainingWork remainingWork(
+    const std::vector<StepSpec>& steps, const OccurrenceState& occurrence, std::chrono::milliseconds perStep);
 std::chrono::milliseconds longestChain(const std::vector<StepSpec>& steps, std::chrono::milliseconds perStep);
 std::optional<std::string> jobSpecProblem(const CellJobSpec& spec);
 
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -271,10 +271,7 @@
 void CellOwner::activateJob(CellJob& job, Time now)
 {
     const QueueConfig* queue = queueOf(job);
-    std::chrono::milliseconds perStep { 0 };
-    if (queue && queue->advisor)
-        perStep = std::chrono::duration_cast<std::chrono::milliseconds>(queue->advisor->callTime(maxAdvisedTargets));
-    const auto chain = longestChain(job.spec.steps, perStep);
+    const auto chain = longestChain(job.spec.steps, queue ? adviceTime(*queue) : std::chrono::milliseconds(0));
     job.objective = std::chrono::milliseconds(static_cast<std::int64_t>(
                         (queue ? queue->slackFactor : 1.0) * static_cast<double>(chain.count())))
         + (queue ? queue->targetLatency : std::chrono::milliseconds(0));
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -7,6 +7,7 @@
 #include "metrics.h"
 #include "placement.h"
 #include "record_log.h"
+#include "work_order.h"
 
 #include <array>
 #include <functional>
@@ -42,6 +43,8 @@
     int priority = 0; ///< Priority of the queue; 0 is the most urgent.
     Time order {}; ///< Requests of equal priority are sent in ascending order of this time.
     Time askedAt {}; ///< Time at which the step began to wait for an answer.
+    /** With client accounts: order of requests of equal priority, before AdviceQuestion::order. */
+    std::optional<WorkRank> rank {};
 };
 
 /** Advisor's answer to an AdviceQuestion. */
@@ -168,6 +171,7 @@
         bool valueLost
             = false; ///< The job is too far past its objective to have any value; sorted last in its priority.
         Time objectiveTime {};
+        std::optional<WorkRank> rank; ///< Set if the cell has client accounts; then sorts before objectiveTime.
 
         StepKey stepKey() const { return { job->spec.id, occurrence, step }; }
         CellTaskKey taskKey(std::uint32_t index) const { return { job->spec.id, occurrence, step, index }; }
@@ -297,7 +301,9 @@
     std::vector<PlacementOption> placementOptions(const ReadyStep& ready, Time now);
     static Occupant makeOccupant(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now);
     void assignTask(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
-    void requestAdvice(CellJob& job, const StepKey& key, Time now);
+    std::optional<WorkRank> rankOf(const CellJob& job, std::uint32_t occurrence, std::uint32_t step, Time now) const;
+    static std::chrono::milliseconds adviceTime(const QueueConfig& queue);
+    void requestAdvice(const ReadyStep& ready, Time now);
     void fillQuestion(CellJob& job, AdviceQuestion& question, Time now);
     const std::vector<CellTarget*>& usableTargets(const ServiceId& service, Time now);
     void claimRoom(const AdviceQuestion& question, const StepState& state, const StepSpec& spec);
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -28,15 +28,16 @@
 } // namespace
 
 /** Queues a question to the advisor about a step, unless one is under way already. */
-void CellOwner::requestAdvice(CellJob& job, const StepKey& key, Time now)
+void CellOwner::requestAdvice(const ReadyStep& ready, Time now)
 {
-    const QueueConfig* queue = queueOf(job);
-    StepAdvice& advice = job.step(key)->advice;
+    const QueueConfig* queue = queueOf(*ready.job);
+    StepAdvice& advice = ready.job->step(ready.stepKey())->advice;
     if (!queue || !queue->advisor || advice.inFlight > 0 || now < advice.notBefore)
         return;
     ++advice.inFlight;
     advice.askedAt = now;
-    m_hooks.ask({ key, {}, queue->advisor->callTime(1), queue->priority, job.objectiveAt(), now });
+    m_hooks.ask({ ready.stepKey(), {}, queue->advisor->callTime(1), ready.priority, ready.job->objectiveAt(), now,
+        ready.rank });
 }
 
 /** Returns the targets of a service that may get new work. */
@@ -115,6 +116,12 @@
     if (!state)
         return false;
     StepAdvice& advice = state->advice;
+    if (const auto rank = rankOf(*job, question.step.occurrence, question.step.step, now);
+        rank && question.rank && rank->band > question.rank->band) {
+        advice.inFlight = std::max(0, advice.inFlight - 1); // Asked again at its new place in the order.
+        m_dispatchDue = true;
+        return false;
+    }
     fillQuestion(*job, question, now);
     if (question.targets.empty()) {
         advice.inFlight = std::max(0, advice.inFlight - 1);
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -7,13 +7,6 @@
 
 namespace sp {
 
-namespace {
-
-    /** A job that ends later than this multiple of its objective earns nothing. */
-    constexpr double lateObjectiveFactor = 3;
-
-} // namespace
-
 /** Marks a task as done. May make later steps ready, end the occurrence and complete the job. */
 void CellOwner::completeTask(CellJob& job, const CellTaskKey& key, Time now)
 {
@@ -105,16 +98,16 @@
                 step.mayHaveWaitingTasks = std::any_of(
                     step.tasks.begin(), step.tasks.end(), [](const auto& task) { return task.waiting(); });
                 if (step.mayHaveWaitingTasks) {
-                    const bool late = now - job->submittedAt > job->objective * static_cast<int>(lateObjectiveFactor);
-                    ready.push_back(
-                        { job, number, s, priority, late && !job->spec.steps[s].lasting, job->objectiveAt() });
+                    const bool late = now - job->submittedAt > job->objective * lateObjectiveFactor;
+                    ready.push_back({ job, number, s, priority, late && !job->spec.steps[s].lasting, job->objectiveAt(),
+                        rankOf(*job, number, s, now) });
                 }
             }
         }
     }
     std::sort(ready.begin(), ready.end(), [](const ReadyStep& a, const ReadyStep& b) {
-        return std::tie(a.priority, a.valueLost, a.objectiveTime, a.job->spec.id, a.step)
-            < std::tie(b.priority, b.valueLost, b.objectiveTime, b.job->spec.id, b.step);
+        return std::tie(a.priority, a.rank, a.valueLost, a.objectiveTime, a.job->spec.id, a.step)
+            < std::tie(b.priority, b.rank, b.valueLost, b.objectiveTime, b.job->spec.id, b.step);
     });
     return ready;
 }
@@ -191,7 +184,7 @@
         assignTask(job, ready.taskKey(i), *option->target, now);
     }
     if (hasUnplaced)
-        requestAdvice(job, stepKey, now);
+        requestAdvice(ready, now);
 }
 
 /** Places a whole gang, or places a member again whose start was refused while the others wait for it. */
@@ -210,7 +203,7 @@
     if (placed == 0) {
         std::vector<CellTarget*> chosen;
         if (!placeGang(options, spec, chosen)) {
-            requestAdvice(job, stepKey, now);
+            requestAdvice(ready, now);
             return;
         }
         for (std::uint32_t i = 0; i < spec.tasks; ++i) {
--- a/tests/cell_load_world.h
+++ b/tests/cell_load_world.h
@@ -11,6 +11,7 @@
 
 /** Submits a load to the owner and records the times after which jobs are accepted and completed. */
 struct LoadTest : CellWorld {
+    AccountId account; ///< Client account of the jobs that are submitted from now on.
     std::map<std::string, Time> submittedAt; ///< Submission time of each job.
     std::map<std::string, Duration> answeredAfter; ///< Time from submission to the answer.
     std::map<std::string, Duration> completedAfter; ///< Time from submission to completion.
@@ -28,6 +29,7 @@
         spec.id = JobId(id);
         spec.queue = queue;
         spec.service = service;
+        spec.account = account;
         spec.payload = "payload";
         spec.steps = std::move(steps);
         deliver([this, id, spec = std::move(spec)]() mutable {
--- /dev/null
+++ b/tests/test_cell_accounts_load.cpp
@@ -0,0 +1,88 @@
+#include "doctest_main.h"
+
+#include "cell_load_world.h"
+#include "fnv_hash_func.h"
+
+using namespace sp;
+using namespace sp::test;
+
+namespace {
+
+/** A cell with client accounts and the three queues of a ledger deployment, at a sixth of its size. */
+struct AccountsTest : LoadTest {
+    static constexpr int targetCount = 60;
+    static constexpr Duration longObjective { 21968ms }; ///< 2.2 x 2 x (4 s + a call about 30 targets) + 1.2 s.
+    static constexpr Duration quickObjective { 1530ms }; ///< 1.5 x (0.8 s + a call about 30 targets) + 250 ms.
+
+    AccountsTest()
+    {
+        QueueConfig quick = config.queues[0];
+        quick.id = QueueId("quick");
+        quick.advisor = AdvisorTraits { 38ms, 500us, 2500ms };
+        QueueConfig lasting = quick;
+        lasting.id = QueueId("lasting");
+        lasting.priority = 1;
+        lasting.advisor = AdvisorTraits { 585ms, 8450us, 2500ms };
+        QueueConfig plan = quick;
+        plan.id = QueueId("long");
+        plan.priority = 2;
+        plan.slackFactor = 2.2;
+        plan.targetLatency = 1200ms;
+        plan.advisor = AdvisorTraits { 507ms, 7150us, 2500ms };
+        config.queues = { quick, lasting, plan };
+        for (const char* id : { "a", "b", "c", "d", "e", "f" })
+            config.accounts.push_back({ AccountId(id), {}, 1, {} });
+        addTargets(targetCount, { 16000, 64000, 0 });
+        advisorAllows = [](const TargetId& id, const StepKey& step) {
+            return fnvHash(id.value + '/' + stepText(step)) % 100 < (step.job.value.starts_with("q") ? 70U : 35U);
+        };
+        lengthOf = [](const CellTaskKey& key) { // Estimates are off by a factor of up to two.
+            const double factor = 0.5 + static_cast<double>(fnvHash(taskText(key)) % 100) / 100;
+            if (key.job.value.starts_with("r"))
+                return Duration(0);
+            return std::chrono::duration_cast<Duration>(factor * (key.job.value.starts_with("q") ? 800ms : 4000ms));
+        };
+        advisorHosts = 8;
+        takeOver();
+        run(200ms);
+    }
+
+    void submitLong(const std::string& id)
+    {
+        StepSpec first = step(16, 4500);
+        first.estimate = 4s;
+        first.checkpointing = true;
+        StepSpec second = first;
+        second.after = { 0 };
+        submitTo(id, QueueId("long"), { first, second });
+    }
+
+    void submitQuick(const std::string& id)
+    {
+        StepSpec spec = step(10, 2200);
+        spec.estimate = 800ms;
+        submitTo(id, QueueId("quick"), { spec });
+    }
+};
+
+} // namespace
+
+// On the order by the end of the objective, the overdue jobs stayed ahead of each new one, so that all were late.
+TEST_CASE_FIXTURE(AccountsTest, "after a burst that leaves overdue long jobs, new jobs of usual rate end in time")
+{
+    account = AccountId("a");
+    for (int i = 0; i < 60; ++i) {
+        submitLong("backlog" + std::to_string(i));
+        runAndRecord(200ms);
+    }
+    runAndRecord(13s);
+    // 1.1 long jobs a second use two thirds of the cores.
+    for (int i = 0; i < 54; ++i) {
+        account = AccountId(std::string(1, static_cast<char>('a' + i % 6)));
+        submitLong("new" + std::to_string(i));
+        runAndRecord(900ms);
+    }
+    runAndRecord(longObjective);
+    CHECK(shareWithin("new", longObjective) >= 0.8);
+    CHECK(violations == std::vector<std::string> {});
+}
