Add: rates and shares of client accounts, advisor time for work that can be in time

Cause: the burst of one account delayed the jobs of all others. Under overload every third advisor call went to the question that had waited longest, which was about overdue work; steps far back in the queue had tickets that expired unused; short questions waited for the few reserved hosts.

Change, with client accounts only: a token bucket marks jobs beyond the rate of their account (last band). Weighted max-min shares by dominant resource put accounts above the water level of a full service into the second band. The broker looks for the question that has waited longest among those that can be in time, and lets one in four of the other hosts send short calls when idle. A step is asked for only if it may find room while a ticket is valid. Claims hold room against later bands of the same priority.

--- /dev/null
+++ b/src/account_rate.cpp
@@ -0,0 +1,47 @@
+#include "account_rate.h"
+
+#include <algorithm>
+
+namespace sp {
+
+namespace {
+
+    constexpr double burstSeconds = 1; ///< A bucket holds the jobs of this time.
+    constexpr double minBurstJobs = 1; ///< An account of less than one job per second may submit single jobs.
+
+} // namespace
+
+double AccountRates::capacityOf(const Bucket& bucket) { return std::max(minBurstJobs, bucket.weight * burstSeconds); }
+
+/** Sets the weights. Known accounts keep their level; those that were removed keep their weight, as jobs may follow. */
+void AccountRates::setAccounts(const std::vector<ClientAccount>& accounts)
+{
+    for (const ClientAccount& account : accounts)
+        m_buckets[account.id].weight = account.weight;
+}
+
+/**
+ * Counts a job that an account submits.
+ * @return False if the account submits beyond its rate. Jobs of no account, and of one that is not configured, have no
+ * rate.
+ */
+bool AccountRates::takeToken(const AccountId& id, Time now)
+{
+    const auto it = m_buckets.find(id);
+    if (it == m_buckets.end())
+        return true;
+    Bucket& bucket = it->second;
+    const double capacity = capacityOf(bucket);
+    if (bucket.filledAt == Time {})
+        bucket.tokens = capacity;
+    else
+        bucket.tokens = std::min(
+            capacity, bucket.tokens + bucket.weight * std::chrono::duration<double>(now - bucket.filledAt).count());
+    bucket.filledAt = now;
+    if (bucket.tokens < 1)
+        return false;
+    bucket.tokens -= 1;
+    return true;
+}
+
+} // namespace sp
--- a/src/advice_broker.cpp
+++ b/src/advice_broker.cpp
@@ -11,6 +11,8 @@
     constexpr int maxShortCallsInFlight = 2; ///< Per host; two keep the advisor busy during a network round trip.
     /** One host in this many sends short calls only; none if the cell has a single host. */
     constexpr std::size_t hostsPerShortCallHost = 5;
+    /** With client accounts, one in this many of the other hosts may send short calls while long questions wait. */
+    constexpr std::size_t hostsPerSharedHost = 4;
     constexpr std::chrono::milliseconds hostBackOff { 1500 }; ///< Back-off of a host after a call without an answer.
     constexpr int maxBackOffDoublings = 2; ///< Limits the back-off of a host that repeatedly gets no answer to 6 s.
     /** After this many calls that overtake it, the question that has waited longest is sent. */
@@ -66,6 +68,27 @@
         [&](const auto& entry) { return isShortCallHost(index++) && now >= entry.second.backOffUntil; });
 }
 
+/** Returns whether the questions come with the order of a cell with client accounts. */
+bool AdviceBroker::ranked() const
+{
+    return !m_waitingQuestions.empty() && m_waitingQuestions.front().question.rank.has_value();
+}
+
+/** Returns whether one more of the hosts that are not reserved for short calls may send one while long ones wait. */
+bool AdviceBroker::mayShareHost() const
+{
+    std::size_t index = 0;
+    std::size_t others = 0;
+    std::size_t shared = 0;
+    for (const auto& [host, state] : m_hosts) {
+        if (isShortCallHost(index++))
+            continue;
+        ++others;
+        shared += state.callsInFlight > state.longCallsInFlight ? 1 : 0;
+    }
+    return shared < others / hostsPerSharedHost;
+}
+
 /** Returns the host that is expected to be free first among those that may send a call, null if there is none. */
 AdviceBroker::Host* AdviceBroker::chooseHost(bool isLongCall, Time now, HostId& id)
 {
@@ -73,17 +96,24 @@
     const bool shortOnReservedOnly = !isLongCall && hasShortCallHost(now)
         && std::any_of(m_waitingQuestions.begin(), m_waitingQuestions.end(),
             [](const WaitingQuestion& waiting) { return isLong(waiting.question); });
+    const bool mayShare = shortOnReservedOnly && ranked() && mayShareHost();
     Host* best = nullptr;
+    bool bestShared = false;
     std::size_t index = 0;
     for (auto& [host, state] : m_hosts) {
         const bool shortOnly = isShortCallHost(index++);
-        if (now < state.backOffUntil || (shortOnly ? isLongCall : shortOnReservedOnly))
+        const bool shared = !shortOnly && shortOnReservedOnly;
+        if (now < state.backOffUntil || (shortOnly && isLongCall) || (shared && (!mayShare || state.callsInFlight > 0)))
             continue;
         if (isLongCall ? state.callsInFlight > 0
                        : state.longCallsInFlight > 0 || state.callsInFlight >= maxShortCallsInFlight)
             continue;
-        if (!best || state.estimatedIdleAt < best->estimatedIdleAt) {
+        const auto place = [now](const Host& candidate, bool isShared) {
+            return std::tuple(std::max(candidate.estimatedIdleAt, isShared ? now : Time {}), isShared);
+        };
+        if (!best || place(state, shared) < place(*best, bestShared)) {
             best = &state;
+            bestShared = shared;
             id = host;
         }
     }
@@ -99,6 +129,9 @@
             continue;
         if (!oldest)
             return it;
+        // Under overload, late work would take a third of the advisor's time from work that can still be in time.
+        if (it->question.rank && it->question.rank->band > WorkBand::InTimeAboveShare)
+            continue;
         if (found == m_waitingQuestions.end() || it->serial < found->serial)
             found = it;
     }
@@ -110,7 +143,8 @@
 {
     int& overtaken = m_callsOvertaking.at(isLongCall ? 1 : 0);
     const auto oldest = findQuestion(isLongCall, true);
-    const auto next = overtaken >= maxCallsOvertaking ? oldest : findQuestion(isLongCall, false);
+    const bool oldestDue = overtaken >= maxCallsOvertaking && oldest != m_waitingQuestions.end();
+    const auto next = oldestDue ? oldest : findQuestion(isLongCall, false);
     HostId id;
     Host* host = next == m_waitingQuestions.end() ? nullptr : chooseHost(isLongCall, now, id);
     if (!host)
@@ -132,7 +166,7 @@
 /** Sends waiting questions through free hosts. */
 void AdviceBroker::tick(Time now)
 {
-    const bool longFirst = hasShortCallHost(now);
+    const bool longFirst = hasShortCallHost(now) && !ranked();
     for (const bool isLongCall : { longFirst, !longFirst }) {
         while (sendNext(isLongCall, now)) { }
     }
--- a/src/advice_broker.h
+++ b/src/advice_broker.h
@@ -24,6 +24,9 @@
  * sent first and each names the targets that have room when it is sent. Some hosts are reserved for short calls, which
  * avoids head-of-line blocking by long ones. Every few calls the question that has waited longest is sent, so that none
  * waits forever while urgent ones keep all hosts busy.
+ *
+ * With client accounts (AdviceQuestion::rank), the question that has waited longest is looked for among those whose job
+ * can still be in time, and some more hosts may send short calls when they are idle.
  */
 class AdviceBroker {
 public:
@@ -55,6 +58,8 @@
 
     bool isShortCallHost(std::size_t index) const;
     bool hasShortCallHost(Time now) const;
+    bool ranked() const;
+    bool mayShareHost() const;
     Host* chooseHost(bool isLongCall, Time now, HostId& id);
     Waiting::iterator findQuestion(bool isLongCall, bool oldest);
     bool sendNext(bool isLongCall, Time now);
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -36,6 +36,10 @@
     , m_jobsAccepted(metrics.counter("sp_cell_jobs_accepted_total", "Jobs accepted and stored."))
     , m_jobsRefused(metrics.counter("sp_cell_jobs_refused_total", "Jobs refused by the owner."))
     , m_jobsShed(metrics.counter("sp_cell_jobs_shed_total", "Jobs refused because the owner lags behind its load."))
+    , m_jobsBeyondRate(metrics.counter(
+          "sp_cell_jobs_beyond_rate_total", "Jobs accepted beyond the usual rate of their client account."))
+    , m_accountsAboveShare(metrics.gauge(
+          "sp_cell_accounts_above_share", "Client accounts that run more than their share of a full service."))
     , m_startOrders(metrics.counter("sp_cell_starts_total", "Start orders sent."))
     , m_startsUnanswered(metrics.counter("sp_cell_starts_unanswered_total", "Start orders without an answer."))
     , m_runEnds(metrics.counter("sp_cell_ends_total", "Ends of runs taken in."))
@@ -87,6 +91,11 @@
     m_reachability.clear();
     m_adviceClaims.clear();
     m_admission = {};
+    m_accountRates = {};
+    m_accountRates.setAccounts(m_config.accounts);
+    m_aboveShare.clear();
+    m_sharesUpdatedAt = {};
+    m_accountsAboveShare.set(0);
     m_lossRate = 0;
     m_wakeAt.reset();
     m_openJobs.set(0);
@@ -143,6 +152,7 @@
 void CellOwner::setConfig(const CellConfig& config)
 {
     m_config = config;
+    m_accountRates.setAccounts(config.accounts);
     for (const QueueConfig& queue : config.queues)
         m_queues[queue.id] = queue;
 }
@@ -252,11 +262,15 @@
     job.spec = std::move(spec);
     job.submittedAt = now;
     job.acceptedAt = m_hooks.calendar();
+    job.beyondRate = !m_accountRates.takeToken(job.spec.account, now);
+    m_jobsBeyondRate.add(job.beyondRate ? 1 : 0);
     m_jobs.emplace(job.spec.id, std::move(owned));
     LogLine(LogLevel::Info, "job_taken")
         .with("job", job.spec.id)
         .with("queue", job.spec.queue)
         .with("steps", job.spec.steps.size())
+        .with("account", job.spec.account)
+        .with("beyond_rate", job.beyondRate)
         .with("config", m_config.version);
     activateJob(job, now);
     m_pendingReplies[job.spec.id].push_back(std::move(reply));
@@ -562,8 +576,14 @@
     constexpr std::chrono::seconds maxAdviceTime { 10 };
     if (task.done)
         return false;
-    if (task.waiting())
-        return step.advice.inFlight > 0 && now - step.advice.askedAt > maxAdviceTime;
+    if (task.waiting()) {
+        if (step.advice.inFlight == 0 || now - step.advice.askedAt <= maxAdviceTime)
+            return false;
+        // Questions about late work wait as long as others need the advisor.
+        const CellJob* job = findOpenJob(key.job);
+        const auto rank = job ? rankOf(*job, key.occurrence, key.step, now) : std::nullopt;
+        return !rank || rank->band <= WorkBand::InTimeAboveShare;
+    }
     if (!task.target)
         return true;
     const auto run = task.target->occupants.find(key);
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -1,6 +1,7 @@
 /** @file cell_owner.h Schedules all jobs of a cell: admission, placement, orders to targets, run results, recovery. */
 #pragma once
 
+#include "account_rate.h"
 #include "admission.h"
 #include "cell_job.h"
 #include "cell_target.h"
@@ -13,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -172,6 +174,7 @@
             = false; ///< The job is too far past its objective to have any value; sorted last in its priority.
         Time objectiveTime {};
         std::optional<WorkRank> rank; ///< Set if the cell has client accounts; then sorts before objectiveTime.
+        bool roomSoon = true; ///< The tasks may find room while a ticket that is asked for now is valid.
 
         StepKey stepKey() const { return { job->spec.id, occurrence, step }; }
         CellTaskKey taskKey(std::uint32_t index) const { return { job->spec.id, occurrence, step, index }; }
@@ -181,6 +184,7 @@
     struct AdviceClaim {
         StepKey step;
         int priority = 0; ///< Priority of the step's queue.
+        std::optional<WorkRank> rank; ///< As ReadyStep::rank.
         Resources room;
     };
 
@@ -302,13 +306,17 @@
     static Occupant makeOccupant(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now);
     void assignTask(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
     std::optional<WorkRank> rankOf(const CellJob& job, std::uint32_t occurrence, std::uint32_t step, Time now) const;
+    void updateShares(Time now);
+    void forecastRoom(std::vector<ReadyStep>& ready, Time now);
     static std::chrono::milliseconds adviceTime(const QueueConfig& queue);
     void requestAdvice(const ReadyStep& ready, Time now);
     void fillQuestion(CellJob& job, AdviceQuestion& question, Time now);
     const std::vector<CellTarget*>& usableTargets(const ServiceId& service, Time now);
     void claimRoom(const AdviceQuestion& question, const StepState& state, const StepSpec& spec);
     void releaseClaims(const AdviceQuestion& question);
-    Resources claimedRoom(const TargetId& target, const StepKey& step, int priority) const;
+    enum class ClaimUse : std::uint8_t { Asking, Placing };
+    Resources claimedRoom(const TargetId& target, const StepKey& step, int priority,
+        const std::optional<WorkRank>& rank, ClaimUse use) const;
     void placeGangStep(const ReadyStep& ready, std::vector<PlacementOption>& options, Time now);
     void wakeBy(Time at) { m_wakeAt = m_wakeAt ? std::min(*m_wakeAt, at) : at; }
     std::chrono::milliseconds leaseDuration() const;
@@ -330,6 +338,11 @@
     /** Replies owed to submitters of jobs that are not stored yet. */
     std::map<JobId, std::vector<JobReply>> m_pendingReplies;
     Admission m_admission;
+    AccountRates m_accountRates;
+    /** Accounts that run more than their share of a full service; updated by updateShares(). */
+    std::set<std::pair<ServiceId, AccountId>> m_aboveShare;
+    Time m_sharesUpdatedAt {};
+    std::map<ServiceId, double> m_coresFreedPerSecond; ///< Expected from the running tasks; updated with the shares.
     Duration m_lag {}; ///< Time that an event waits for the event loop of this host.
     Duration m_storeDelay {}; ///< Recent duration of a store transaction.
     bool m_storeStalled = false; ///< The store does not answer, so records cannot be saved.
@@ -356,6 +369,8 @@
     Counter& m_jobsAccepted;
     Counter& m_jobsRefused;
     Counter& m_jobsShed;
+    Counter& m_jobsBeyondRate;
+    Gauge& m_accountsAboveShare;
     Counter& m_startOrders;
     Counter& m_startsUnanswered;
     Counter& m_runEnds;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -32,7 +32,7 @@
 {
     const QueueConfig* queue = queueOf(*ready.job);
     StepAdvice& advice = ready.job->step(ready.stepKey())->advice;
-    if (!queue || !queue->advisor || advice.inFlight > 0 || now < advice.notBefore)
+    if (!queue || !queue->advisor || advice.inFlight > 0 || now < advice.notBefore || !ready.roomSoon)
         return;
     ++advice.inFlight;
     advice.askedAt = now;
@@ -89,7 +89,7 @@
                 continue;
             candidate.knowledge
                 = ticket->second.validUntil >= now + ticketMargin ? AdviceKnowledge::Valid : AdviceKnowledge::Allowed;
-            room -= claimedRoom(target->id(), question.step, question.priority);
+            room -= claimedRoom(target->id(), question.step, question.priority, question.rank, ClaimUse::Asking);
         } else if (!mayEverRun(*target, spec)) {
             continue;
         }
@@ -149,7 +149,7 @@
         CellTarget* target = state.advice.allowed.contains(id) ? findTarget(id) : nullptr;
         if (!target)
             continue;
-        AdviceClaim claim { question.step, question.priority, {} };
+        AdviceClaim claim { question.step, question.priority, question.rank, {} };
         const std::uint32_t tasks = tasksThatFit({ target, target->room(), 0 }, spec);
         for (std::uint32_t i = 0; i < tasks; ++i)
             claim.room += spec.reserved();
@@ -169,13 +169,26 @@
     }
 }
 
-/** Returns the room on a target that other steps of at least this priority have claimed. */
-Resources CellOwner::claimedRoom(const TargetId& target, const StepKey& step, int priority) const
+/**
+ * Returns the room on a target that other steps have claimed.
+ * @param priority Priority of the step.
+ * @param rank Rank of the step; if it is set, claims of its priority that are in a later band don't count.
+ * @param use Placing: of the claims of the same priority, only those in an earlier band count. Without ranks, none.
+ */
+Resources CellOwner::claimedRoom(
+    const TargetId& target, const StepKey& step, int priority, const std::optional<WorkRank>& rank, ClaimUse use) const
 {
     Resources sum;
+    const auto counts = [&](const AdviceClaim& claim) {
+        if (claim.priority != priority)
+            return claim.priority < priority;
+        if (rank && claim.rank && claim.rank->band != rank->band)
+            return claim.rank->band < rank->band;
+        return use == ClaimUse::Asking;
+    };
     if (const auto it = m_adviceClaims.find(target); it != m_adviceClaims.end()) {
         for (const AdviceClaim& claim : it->second) {
-            if (claim.step != step && claim.priority <= priority)
+            if (claim.step != step && counts(claim))
                 sum += claim.room;
         }
     }
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -117,8 +117,11 @@
 {
     if (!m_mayOrder)
         return;
-    for (const ReadyStep& ready : readySteps(now))
-        placeStep(ready, now);
+    updateShares(now);
+    std::vector<ReadyStep> ready = readySteps(now);
+    forecastRoom(ready, now);
+    for (const ReadyStep& step : ready)
+        placeStep(step, now);
 }
 
 /** Returns the targets with free capacity for a step. An advisor limits them to targets with a valid ticket. */
@@ -136,7 +139,8 @@
             || !mayEverRun(target, step))
             return;
         const auto same = sameStep.find(&target);
-        const Resources room = target.room() - claimedRoom(target.id(), ready.stepKey(), ready.priority - 1);
+        const Resources room
+            = target.room() - claimedRoom(target.id(), ready.stepKey(), ready.priority, ready.rank, ClaimUse::Placing);
         const PlacementOption option { &target, room, same == sameStep.end() ? 0 : same->second };
         if (tasksThatFit(option, step) > 0)
             options.push_back(option);
