--- a/src/advice_broker.h
+++ b/src/advice_broker.h
@@ -24,6 +24,9 @@
  * sent first and each names the targets that have room when it is sent. Some hosts are reserved for short calls, which
  * avoids head-of-line blocking by long ones. Every few calls the question that has waited longest is sent, so that none
  * waits forever while urgent ones keep all hosts busy.
+ *
+ * With client accounts (AdviceQuestion::rank), the question that has waited longest is looked for among those whose job
+ * can still be in time, and some more hosts may send short calls when they are idle.
  */
 class AdviceBroker {
 public:
@@ -55,6 +58,8 @@
 
     bool isShortCallHost(std::size_t index) const;
     bool hasShortCallHost(Time now) const;
+    bool ranked() const;
+    bool mayShareHost() const;
     Host* chooseHost(bool isLongCall, Time now, HostId& id);
     Waiting::iterator findQuestion(bool isLongCall, bool oldest);
     bool sendNext(bool isLongCall, Time now);
@@ -62,7 +67,7 @@
 
     const AdviceBrokerHooks m_hooks;
     std::map<HostId, Host> m_hosts;
-    Waiting m_waitingQuestions; ///< By priority and then by AdviceQuestion::order.
+    Waiting m_waitingQuestions; ///< By priority, rank and then by AdviceQuestion::order.
     std::map<std::uint64_t, CallInFlight> m_callsInFlight;
     std::uint64_t m_lastCallId = 0;
     std::uint64_t m_lastSerial = 0;
