Add: a profile of run times, used for placement and the advisor's questions

Quick jobs became late on a cell whose targets run at 0.7, 0.7 and 1.7 times the nominal speed, although fast targets had room: questions named the targets with the most room, and long work filled fast ones as well.

RunTimeProfile learns run times from ended runs: by group of tasks, by kind, and by target, where the kind is the prior for targets that were seldom seen. Once the targets of a service differ by more than the slack factor of its most urgent queue, steps of that queue ask about and go to fast targets first, and other steps leave them while others have room, unless they would miss their own objective there. Without such a difference decisions are as before.

--- a/src/advice_targets.cpp
+++ b/src/advice_targets.cpp
@@ -1,6 +1,7 @@
 #include "advice_targets.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace sp {
 
@@ -83,13 +84,14 @@
         return candidate.knowledge == AdviceKnowledge::Valid
             || (candidate.knowledge == AdviceKnowledge::Allowed && (candidate.fits == 0 || demand.allTogether));
     });
-    // Targets whose tickets have expired are allowed for certain; they and those with the most room come first.
+    // Targets whose tickets have expired are allowed for certain; they and those with the most room come first,
+    // weighted by the preference for their speed.
     const std::size_t limit = std::min(demand.maxTargets, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(limit), candidates.end(),
         [&](const AdviceCandidate& a, const AdviceCandidate& b) {
-            const double expectedA = expectedTasks(a);
-            const double expectedB = expectedTasks(b);
-            return expectedA != expectedB ? expectedA > expectedB : a.rank < b.rank;
+            const double expectedA = expectedTasks(a) * a.weight;
+            const double expectedB = expectedTasks(b) * b.weight;
+            return std::tie(expectedB, b.weight, a.rank) < std::tie(expectedA, a.weight, b.rank);
         });
     const double allowedWanted = demand.tasks * (demand.allTogether ? gangSurplusFactor : 1);
     std::vector<std::uint32_t> targets;
--- a/src/advice_targets.h
+++ b/src/advice_targets.h
@@ -21,6 +21,7 @@
     AdviceKnowledge knowledge = AdviceKnowledge::Unknown;
     /** Hash that breaks ties, so that steps that become ready together ask about different targets. */
     std::uint64_t rank = 0;
+    double weight = 1; ///< Preference for the target; a factor on its room when targets are compared.
 };
 
 /** What a question is to achieve. */
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -45,6 +45,8 @@
     , m_crashesCounted(metrics.counter(
           "sp_cell_task_crashes_total", "Crashes of targets, counted for each task that they had started."))
     , m_tasksGivenUp(metrics.counter("sp_cell_tasks_given_up_total", "Tasks given up because they crash targets."))
+    , m_slowPlacements(metrics.counter("sp_cell_slow_placements_total",
+          "Tasks placed on targets that are too slow for their queue, as no other allowed one had room."))
     , m_openJobs(metrics.gauge("sp_cell_open_jobs", "Jobs that have not ended."))
     , m_unattendedTasks(
           metrics.gauge("sp_cell_unattended_tasks", "Open tasks that no run, queue or question moves on."))
@@ -84,6 +86,7 @@
     m_incarnationsChanged = false;
     m_reservations.clear();
     m_usableTargets.clear();
+    m_runTimes = {};
     m_reachability.clear();
     m_adviceClaims.clear();
     m_admission = {};
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -7,6 +7,7 @@
 #include "metrics.h"
 #include "placement.h"
 #include "record_log.h"
+#include "run_time_profile.h"
 
 #include <array>
 #include <functional>
@@ -294,6 +295,8 @@
     void dispatch(Time now);
     std::vector<ReadyStep> readySteps(Time now);
     void placeStep(const ReadyStep& ready, Time now);
+    std::optional<SpeedPreference> speedPreference(const CellJob& job, const StepSpec& spec, Time now);
+    void learnRunTime(CellTarget& target, const EndRow& end, const Occupant& occupant, Time now);
     std::vector<PlacementOption> placementOptions(const ReadyStep& ready, Time now);
     static Occupant makeOccupant(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now);
     void assignTask(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
@@ -338,6 +341,7 @@
     /** Moving average of the share of targets that the advisor allows, by queue. */
     std::map<QueueId, double> m_allowedShare;
     std::map<TargetId, std::vector<AdviceClaim>> m_adviceClaims; ///< Claims of questions that are not answered yet.
+    RunTimeProfile m_runTimes;
     std::map<DataCentreId, DataCentreReachability> m_reachability;
     bool m_dataCentreSuspect = false; ///< Some data centre does not answer; determined in each sweep.
     double m_lossRate = 0; ///< Moving average of the share of calls to targets that get no answer.
@@ -358,6 +362,7 @@
     Counter& m_adviceQuestions;
     Counter& m_crashesCounted;
     Counter& m_tasksGivenUp;
+    Counter& m_slowPlacements;
     Gauge& m_openJobs;
     Gauge& m_unattendedTasks;
     Histogram& m_taskWaitSeconds;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -74,13 +74,15 @@
     const auto sameStep = state.tasksByTarget();
     const std::uint64_t seed = fnvHash(stepText(question.step));
     const std::vector<CellTarget*>& targets = usableTargets(queue->service, now);
+    const std::optional<SpeedPreference> speeds = speedPreference(job, spec, now);
     std::vector<AdviceCandidate> candidates;
     candidates.reserve(targets.size());
     for (std::uint32_t i = 0; i < targets.size(); ++i) {
         CellTarget* target = targets[i];
         if (target->reservedFor && target->reservedFor->stepKey() != question.step)
             continue;
-        AdviceCandidate candidate { i, 0, AdviceKnowledge::Unknown, 0 };
+        AdviceCandidate candidate { i, 0, AdviceKnowledge::Unknown, 0,
+            speeds ? speeds->adviceWeight(target->speed) : 1 };
         Resources room = target->room();
         if (advice.answered.contains(target->serial)) {
             const auto ticket = advice.allowed.find(target->id());
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -160,6 +160,32 @@
     return options;
 }
 
+/** Returns the preferences of a step among targets; nothing while their speeds are not known to differ. */
+std::optional<SpeedPreference> CellOwner::speedPreference(const CellJob& job, const StepSpec& spec, Time now)
+{
+    const QueueConfig* own = queueOf(job);
+    if (!own || spec.fills)
+        return std::nullopt;
+    SpeedDemand demand { own->slackFactor, own->slackFactor, true, spec.lasting };
+    int mostUrgent = own->priority;
+    for (const QueueConfig& queue : m_config.queues) {
+        if (queue.service != own->service || queue.priority > mostUrgent)
+            continue;
+        demand.urgentSlackFactor
+            = queue.priority < mostUrgent ? queue.slackFactor : std::min(demand.urgentSlackFactor, queue.slackFactor);
+        mostUrgent = queue.priority;
+    }
+    demand.urgent = own->priority == mostUrgent;
+    const auto speedsOfTargets = [&] {
+        std::vector<TargetSpeed*> speeds;
+        for (CellTarget* target : usableTargets(own->service, now))
+            speeds.push_back(&target->speed);
+        return speeds;
+    };
+    return SpeedPreference::make(
+        m_runTimes.outlook(own->service, RunTimeProfile::groupOf(spec, own->id), speedsOfTargets, now), demand);
+}
+
 void CellOwner::placeStep(const ReadyStep& ready, Time now)
 {
     CellJob& job = *ready.job;
@@ -171,6 +197,7 @@
         placeGangStep(ready, options, now);
         return;
     }
+    const auto speeds = options.empty() ? std::nullopt : speedPreference(job, spec, now);
     bool hasUnplaced = false;
     for (std::uint32_t i = 0; i < spec.tasks; ++i) {
         TaskState& task = state.tasks[i];
@@ -181,13 +208,15 @@
             hasUnplaced |= alone == AlonePlacement::Waiting;
             continue;
         }
-        PlacementOption* option = chooseOption(options, { &spec, &task.avoid, {} });
+        PlacementOption* option = chooseOption(options, { &spec, &task.avoid, {}, speeds ? &*speeds : nullptr });
         if (!option) {
             hasUnplaced = true;
             break;
         }
         option->room -= spec.reserved();
         ++option->sameStep;
+        if (speeds && speeds->tooSlow(option->target->speed))
+            m_slowPlacements.add();
         assignTask(job, ready.taskKey(i), *option->target, now);
     }
     if (hasUnplaced)
@@ -209,7 +238,8 @@
     }
     if (placed == 0) {
         std::vector<CellTarget*> chosen;
-        if (!placeGang(options, spec, chosen)) {
+        const auto speeds = options.empty() ? std::nullopt : speedPreference(job, spec, now);
+        if (!placeGang(options, spec, chosen, speeds ? &*speeds : nullptr)) {
             requestAdvice(job, stepKey, now);
             return;
         }
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -117,6 +117,7 @@
         if (target.heardAt == Time {})
             target.lapsesBy = std::max(target.lapsesBy, restartLeaseEnd(entry.bornAt, now));
         target.entry = entry;
+        target.speed.kind = entry.labels.empty() ? 0 : m_runTimes.kindNumber(entry.labels.front());
         target.listed = true;
     }
     for (auto& [id, target] : m_targets) {
@@ -528,6 +529,7 @@
             constexpr double maxRunTimeRatio = 4.0;
             target.slowness += weight * (std::clamp(ratio, minRunTimeRatio, maxRunTimeRatio) - target.slowness);
         }
+        learnRunTime(target, end, it->second, now);
         target.release(end.task);
     }
     m_dispatchDue = true;
@@ -575,6 +577,24 @@
     requeue(*job, end.task, now);
 }
 
+/** Lets the run-time profile learn from a run that is done, unless something else than its target determined its time.
+ */
+void CellOwner::learnRunTime(CellTarget& target, const EndRow& end, const Occupant& occupant, Time now)
+{
+    const CellJob* job = findJob(end.task.job);
+    if (!job || end.kind != EndKind::Done || occupant.phase != RunPhase::Running || target.mayHaveRestarted())
+        return;
+    const StepSpec& spec = job->spec.steps[end.task.step];
+    const bool recovered = occupant.since <= m_ownedSince; // The time of its start is unknown.
+    const bool resumed = spec.checkpointing && end.run > 1;
+    const bool remote = !spec.nearRack.empty() && spec.nearRack != target.entry.rack;
+    // A gang makes progress at the pace of its slowest member.
+    if (spec.estimate.count() <= 0 || spec.fills || spec.lasting || spec.gang || recovered || resumed || remote)
+        return;
+    const double ratio = std::chrono::duration<double>(now - occupant.since) / spec.estimate;
+    m_runTimes.record(RunTimeProfile::groupOf(spec, job->spec.queue), target.speed, ratio, now);
+}
+
 /** Stops the present run of a task, or those of its whole gang, as an earlier run turns out to be done. */
 void CellOwner::stopNewerRuns(CellJob& job, const CellTaskKey& key, Time now)
 {
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cell_type.h"
+#include "run_time_profile.h"
 
 #include <algorithm>
 #include <optional>
@@ -120,6 +121,7 @@
     Time quarantinedUntil {}; ///< No task is placed on the target before this time.
     Time refusedUntil {}; ///< Back-off after a rejected start: no task is placed on the target before this time.
     double slowness = 1; ///< Ratio of observed to estimated run time, relative to other targets.
+    TargetSpeed speed; ///< What the run-time profile has learned of the target.
 
     const TargetId& id() const { return entry.id; }
     TargetRef ref() const { return { entry.id, entry.address }; }
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -73,7 +73,8 @@
     double cost = 1 - fraction(left.coresMilli, target.entry.capacity.coresMilli);
     if (step.demand.accelerators > 0)
         cost += freeAcceleratorWeight * fraction(left.accelerators, target.entry.capacity.accelerators);
-    cost += slownessWeight * std::max(0.0, target.slowness - 1);
+    cost += requirements.speeds ? requirements.speeds->placementCost(target.speed)
+                                : slownessWeight * std::max(0.0, target.slowness - 1);
     if (!step.nearRack.empty() && target.entry.rack != step.nearRack)
         cost += remoteRackWeight;
     if (!requirements.gangRack.empty() && target.entry.rack != requirements.gangRack)
@@ -110,11 +111,13 @@
  * @param options Candidates; on success, their room is reduced by the placed tasks.
  * @param step Step that forms the gang.
  * @param chosen Receives the target of each task by index; incomplete on failure.
+ * @param speeds Preferences among targets that differ in speed; may be null.
  * @return True if all tasks were placed.
  */
-bool placeGang(std::vector<PlacementOption>& options, const StepSpec& step, std::vector<CellTarget*>& chosen)
+bool placeGang(std::vector<PlacementOption>& options, const StepSpec& step, std::vector<CellTarget*>& chosen,
+    const SpeedPreference* speeds)
 {
-    PlacementRequirements requirements { &step, nullptr, {} };
+    PlacementRequirements requirements { &step, nullptr, {}, speeds };
     if (step.colocated) {
         std::map<RackId, std::uint32_t> roomByRack;
         for (const PlacementOption& option : options)
--- a/src/placement.h
+++ b/src/placement.h
@@ -21,12 +21,14 @@
     /** Targets on which the task failed, chosen only if no other has room; may be null. */
     const std::set<TargetId>* avoid = nullptr;
     RackId gangRack; ///< Preferred rack of a colocated gang; empty for none.
+    const SpeedPreference* speeds = nullptr; ///< Set if the targets are known to differ in speed.
 };
 
 bool mayEverRun(const CellTarget& target, const StepSpec& step);
 std::uint32_t tasksThatFit(const PlacementOption& option, const StepSpec& step);
 double placementCost(const PlacementOption& option, const PlacementRequirements& requirements);
 PlacementOption* chooseOption(std::vector<PlacementOption>& options, const PlacementRequirements& requirements);
-bool placeGang(std::vector<PlacementOption>& options, const StepSpec& step, std::vector<CellTarget*>& chosen);
+bool placeGang(std::vector<PlacementOption>& options, const StepSpec& step, std::vector<CellTarget*>& chosen,
+    const SpeedPreference* speeds = nullptr);
 
 } // namespace sp
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -50,6 +50,9 @@
     std::vector<std::pair<CellTaskKey, int>> paceOrders;
     /** Duration of a run of a task; 0 for a task that runs until it is cancelled. */
     std::function<Duration(const CellTaskKey&)> lengthOf = [](const CellTaskKey&) { return Duration(500ms); };
+    /** Factor on the duration of a run on a target, determined when it starts. */
+    std::function<double(const CellTaskKey&, const WorldTarget&)> slowdownOf
+        = [](const CellTaskKey&, const WorldTarget&) { return 1.0; };
     /** Value that the target reports as RunRow::gauge. */
     std::function<std::int64_t(const CellTaskKey&)> gaugeOf = [](const CellTaskKey&) { return 0; };
     CellConfig config;
@@ -472,7 +475,8 @@
             return OrderResult::LeasePast;
         checkStart(target, order);
         prolongLease(target, order.leaseUntil);
-        WorldRun run { order.run, now, {}, lengthOf(order.task), target.leaseEnds, ++m_serial };
+        const auto length = std::chrono::duration_cast<Duration>(lengthOf(order.task) * slowdownOf(order.task, target));
+        WorldRun run { order.run, now, {}, length, target.leaseEnds, ++m_serial };
         target.runs.emplace(order.task, run);
         starts.push_back({ order.task, order.run, target.entry.id, now });
         const TargetId id = target.entry.id;
