Add: usage of client accounts at the owner, and quotas at each placement

Nothing kept an account within its maximum. AccountUsage counts the declared demand of all runs of an account. It is charged and credited by CellTarget::occupy and release, so a run counts from the decision to place it until its end is listed, its lease is over or it turns out unsent. placeStep checks the account before each task, and a gang as a whole; a step whose account is at its maximum asks no advice, claims no room and reserves no target. A job of which one task or gang exceeds the maximum is refused. Placements that were not sent yet are withdrawn if a maximum is lowered.

A record of an ended job names no task, so runs that were being stopped at a take-over would count for nobody until their targets report. The record of a job with an account therefore names its leaving runs, and the next owner counts them and stops them again. It also holds the account's maximum, for accounts that leave the configuration. A reported run that nothing explains counts for the account of its job; if its demand is not known, the account starts nothing until it has ended.

Tests: test_cell_accounts checks each start of a simulated cell against the maximum and recounts the usage in each turn.

--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -222,6 +222,25 @@
     record.set_occurrences_ended(job.occurrences.empty() ? job.occurrencesBegun : job.occurrences.begin()->first);
     record.set_occurrences_begun(job.occurrencesBegun);
     record.set_accepted_ms(job.acceptedAt.time_since_epoch().count());
+    for (const LeavingRun& run : job.leaving) {
+        auto& out = *record.add_leaving();
+        out.set_occurrence(run.task.occurrence);
+        out.set_step(run.task.step);
+        out.set_index(run.task.index);
+        out.set_run(run.run);
+        out.set_target(run.target.value);
+        out.set_target_born_ms(run.bornAt.time_since_epoch().count());
+        out.set_target_machine(run.machine.value);
+        out.set_cores_milli(run.demand.coresMilli);
+        out.set_memory_mb(run.demand.memoryMb);
+        out.set_accelerators(run.demand.accelerators);
+        out.set_fills(run.fills);
+        out.set_size_unknown(run.sizeUnknown);
+        record.set_written_ms(job.writtenAt.time_since_epoch().count());
+    }
+    record.set_quota_cores_milli(job.accountMaximum.coresMilli);
+    record.set_quota_memory_mb(job.accountMaximum.memoryMb);
+    record.set_quota_accelerators(job.accountMaximum.accelerators);
     if (isFinal(job.state))
         return record.SerializeAsString();
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -274,6 +293,12 @@
     // A record of an earlier version has only the count of ended ones.
     job.occurrencesBegun = std::max(record.occurrences_begun(), record.occurrences_ended());
     job.acceptedAt = CalendarTime(ms(record.accepted_ms()));
+    for (const proto::CellLeavingRun& run : record.leaving())
+        job.leaving.push_back({ { job.spec.id, run.occurrence(), run.step(), run.index() }, run.run(),
+            TargetId(run.target()), CalendarTime(ms(run.target_born_ms())), MachineId(run.target_machine()),
+            { run.cores_milli(), run.memory_mb(), run.accelerators() }, run.fills(), run.size_unknown() });
+    job.writtenAt = CalendarTime(ms(record.written_ms()));
+    job.accountMaximum = { record.quota_cores_milli(), record.quota_memory_mb(), record.quota_accelerators() };
     if (isFinal(job.state))
         return true;
     if (job.spec.steps.empty())
--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -78,6 +78,18 @@
     std::vector<StepState> steps;
 };
 
+/** A run that no task of the record names any more, and whose end was not listed when the record was written. */
+struct LeavingRun {
+    CellTaskKey task;
+    std::uint32_t run = 0;
+    TargetId target;
+    CalendarTime bornAt {}; ///< Start time of the target's incarnation to which the run was assigned.
+    MachineId machine; ///< Machine of the target.
+    Resources demand; ///< Declared demand of the task.
+    bool fills = false;
+    bool sizeUnknown = false; ///< The demand is not known.
+};
+
 /** A job in the memory of the owner. */
 struct CellJob {
     CellJobSpec spec;
@@ -102,6 +114,9 @@
     bool writing = false; ///< A write of the record is in progress.
     bool specStored = false;
     bool specRemoved = false;
+    std::vector<LeavingRun> leaving; ///< Runs to name in the record, or read from it; only for a job with an account.
+    CalendarTime writtenAt {}; ///< Time of the record that names them.
+    Resources accountMaximum; ///< Maximum of the account at the time of the record.
     /** Called with true once the store holds the current state, with false if the ownership ends or the submission is
      * refused before. */
     std::vector<std::function<void(bool saved)>> onSaved;
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -45,6 +45,10 @@
     , m_crashesCounted(metrics.counter(
           "sp_cell_task_crashes_total", "Crashes of targets, counted for each task that they had started."))
     , m_tasksGivenUp(metrics.counter("sp_cell_tasks_given_up_total", "Tasks given up because they crash targets."))
+    , m_quotaDenials(metrics.counter(
+          "sp_cell_quota_denials_total", "Times that work began to wait since its account was at its maximum."))
+    , m_accountsAtMaximum(metrics.gauge(
+          "sp_cell_accounts_at_maximum", "Accounts with work that waits since they are at their maximum."))
     , m_openJobs(metrics.gauge("sp_cell_open_jobs", "Jobs that have not ended."))
     , m_unattendedTasks(
           metrics.gauge("sp_cell_unattended_tasks", "Open tasks that no run, queue or question moves on."))
@@ -80,6 +84,7 @@
     m_batches = {};
     m_recordRemovals.clear();
     m_targets.clear();
+    m_accountUsage.clearRuns();
     m_targetList.reset();
     m_incarnationsChanged = false;
     m_reservations.clear();
@@ -145,6 +150,7 @@
     m_config = config;
     for (const QueueConfig& queue : config.queues)
         m_queues[queue.id] = queue;
+    setAccounts(config.accounts);
 }
 
 const QueueConfig* CellOwner::queueOf(const CellJob& job) const
@@ -192,6 +198,8 @@
     const bool allAnswered = now - m_ownedSince > maxFirstAnswerTime;
     if (auto problem = jobSpecProblem(spec))
         return problem;
+    if (auto problem = quotaProblem(spec))
+        return problem;
     bool known = false;
     for (const StepSpec& step : spec.steps) {
         std::uint64_t places = 0;
@@ -477,6 +485,7 @@
         job->writing = true;
         job->onWritten = std::exchange(job->onSaved, {});
         batch.jobs.push_back(job);
+        noteAccountState(*job);
         const std::string& id = job->spec.id.value;
         writes.push_back({ StoreWrite::Kind::Put, CellKeys::jobs + id, encodeJobRecord(*job), {} });
         if (!job->specStored)
@@ -650,6 +659,7 @@
             it = gone ? m_targets.erase(it) : std::next(it);
         }
         releaseStaleReservations(now);
+        noteEndedDenials(now);
         m_usableTargets.clear();
         for (CellJob* job : m_open) {
             if (job->timed())
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -1,6 +1,7 @@
 /** @file cell_owner.h Schedules all jobs of a cell: admission, placement, orders to targets, run results, recovery. */
 #pragma once
 
+#include "account_usage.h"
 #include "admission.h"
 #include "cell_job.h"
 #include "cell_target.h"
@@ -141,6 +142,7 @@
     void tick(Time now);
     std::string statusText(Time now) const;
     std::size_t unattendedTasks(Time now) const;
+    std::vector<AccountId> accountsMiscounted() const;
 
 private:
     /** Lets records that change together share a transaction. */
@@ -182,6 +184,8 @@
         StepKey step;
         int priority = 0; ///< Priority of the step's queue.
         Resources room;
+        AccountId account; ///< Account of the step's job.
+        Resources leastDemand; ///< Demand of one task, or of the whole gang.
     };
 
     /** Contents of the transaction that a lane is writing. */
@@ -232,9 +236,20 @@
     std::optional<std::string> refusalReason(const CellJobSpec& spec, Time now) const;
     static std::chrono::milliseconds overloadRetryAfter(const JobId& id);
 
+    // Accounts.
+    void setAccounts(const std::vector<ClientAccount>& accounts);
+    bool withinQuota(const CellJob& job, const StepSpec& spec, std::uint32_t tasks, Time now);
+    std::optional<std::string> quotaProblem(const CellJobSpec& spec) const;
+    void withdrawUnsentRuns(const AccountId& account);
+    void noteEndedDenials(Time now);
+    void noteAccountState(CellJob& job);
+    void recoverLeavingRuns(const CellJob& job, Time now);
+    void logRestoredUsage() const;
+
     // Targets and orders.
     CellTarget* findTarget(const TargetId& id);
     CellTarget& findOrAddTarget(const TargetId& id);
+    CellTarget& recoverTarget(const TargetId& id, const MachineId& machine, CalendarTime bornAt, Time now);
     Time restartLeaseEnd(CalendarTime bornAt, Time now) const;
     void sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     void beginStop(CellTarget& target, const CellTaskKey& key, Occupant& occupant, const char* reason, Time now);
@@ -304,7 +319,7 @@
     void requestAdvice(CellJob& job, const StepKey& key, Time now);
     void fillQuestion(CellJob& job, AdviceQuestion& question, Time now);
     const std::vector<CellTarget*>& usableTargets(const ServiceId& service, Time now);
-    void claimRoom(const AdviceQuestion& question, const StepState& state, const StepSpec& spec);
+    void claimRoom(const AdviceQuestion& question, const StepState& state, const CellJobSpec& job);
     void releaseClaims(const AdviceQuestion& question);
     Resources claimedRoom(const TargetId& target, const StepKey& step, int priority) const;
     void placeGangStep(const ReadyStep& ready, std::vector<PlacementOption>& options, Time now);
@@ -332,6 +347,7 @@
     Duration m_storeDelay {}; ///< Recent duration of a store transaction.
     bool m_storeStalled = false; ///< The store does not answer, so records cannot be saved.
     std::vector<std::string> m_recordRemovals; ///< Keys of expired job records to delete.
+    AccountUsage m_accountUsage;
     std::map<TargetId, std::unique_ptr<CellTarget>> m_targets;
     std::uint32_t m_lastTargetSerial = 0;
     std::map<CellTaskKey, TargetId> m_reservations; ///< Targets that suspects have, or will have, for themselves.
@@ -362,6 +378,8 @@
     Counter& m_adviceQuestions;
     Counter& m_crashesCounted;
     Counter& m_tasksGivenUp;
+    Counter& m_quotaDenials;
+    Gauge& m_accountsAtMaximum;
     Gauge& m_openJobs;
     Gauge& m_unattendedTasks;
     Histogram& m_taskWaitSeconds;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -68,6 +68,8 @@
         maxAdvisedTargets, spec.gang };
     demand.tasks = static_cast<std::uint32_t>(
         std::count_if(state.tasks.begin(), state.tasks.end(), [](const TaskState& task) { return task.waiting(); }));
+    const std::uint32_t allowed = m_accountUsage.tasksThatMayStart(job.spec.account, spec.demand, demand.tasks);
+    demand.tasks = spec.gang && allowed < demand.tasks ? 0 : allowed;
     if (demand.tasks == 0)
         return;
     const StepAdvice& advice = state.advice;
@@ -122,7 +124,7 @@
         return false;
     }
     advice.needless = 0;
-    claimRoom(question, *state, job->spec.steps[question.step.step]);
+    claimRoom(question, *state, job->spec);
     m_adviceQuestions.add();
     m_adviceWaitSeconds.record(now - question.askedAt);
     LogLine(LogLevel::Info, "advice_asked")
@@ -136,13 +138,15 @@
  * Claims room on the targets whose tickets a question renews. Meanwhile no step of the same or a lower priority asks
  * for it, and no task of a lower priority is placed there.
  */
-void CellOwner::claimRoom(const AdviceQuestion& question, const StepState& state, const StepSpec& spec)
+void CellOwner::claimRoom(const AdviceQuestion& question, const StepState& state, const CellJobSpec& job)
 {
+    const StepSpec& spec = job.steps[question.step.step];
     for (const TargetId& id : question.targets) {
         CellTarget* target = state.advice.allowed.contains(id) ? findTarget(id) : nullptr;
         if (!target)
             continue;
-        AdviceClaim claim { question.step, question.priority, {} };
+        AdviceClaim claim { question.step, question.priority, {}, job.account,
+            spec.demand * (spec.gang ? spec.tasks : 1) };
         const std::uint32_t tasks = tasksThatFit({ target, target->room(), 0 }, spec);
         for (std::uint32_t i = 0; i < tasks; ++i)
             claim.room += spec.reserved();
@@ -162,13 +166,17 @@
     }
 }
 
-/** Returns the room on a target that other steps of at least this priority have claimed. */
+/**
+ * Returns the room on a target that other steps of at least this priority have claimed. A step whose account is at its
+ * maximum claims none.
+ */
 Resources CellOwner::claimedRoom(const TargetId& target, const StepKey& step, int priority) const
 {
     Resources sum;
     if (const auto it = m_adviceClaims.find(target); it != m_adviceClaims.end()) {
         for (const AdviceClaim& claim : it->second) {
-            if (claim.step != step && claim.priority <= priority)
+            if (claim.step != step && claim.priority <= priority
+                && m_accountUsage.mayStart(claim.account, claim.leastDemand))
                 sum += claim.room;
         }
     }
--- a/src/cell_owner_crashes.cpp
+++ b/src/cell_owner_crashes.cpp
@@ -271,7 +271,8 @@
             task->suspect = false;
         }
         const bool waiting = task && task->waiting() && task->suspect && target && target->usable(now)
-            && now - task->waitingSince <= maxWaitForReservation;
+            && now - task->waitingSince <= maxWaitForReservation
+            && m_accountUsage.mayStart(findJob(key.job)->spec.account, findStepSpec(key)->demand);
         if (held && (running ? run->second.alone : waiting)) {
             ++it;
             continue;
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -166,6 +166,8 @@
     const StepKey stepKey = ready.stepKey();
     StepState& state = *job.step(stepKey);
     const StepSpec& spec = job.spec.steps[ready.step];
+    if (!spec.gang && !withinQuota(job, spec, 1, now))
+        return;
     std::vector<PlacementOption> options = placementOptions(ready, now);
     if (spec.gang) {
         placeGangStep(ready, options, now);
@@ -176,6 +178,10 @@
         TaskState& task = state.tasks[i];
         if (!task.waiting())
             continue;
+        if (!withinQuota(job, spec, 1, now)) { // Advice would not help.
+            hasUnplaced = false;
+            break;
+        }
         if (const auto alone = task.suspect ? placeAlone(ready, i, options, now) : AlonePlacement::Impossible;
             alone != AlonePlacement::Impossible) {
             hasUnplaced |= alone == AlonePlacement::Waiting;
@@ -208,6 +214,8 @@
         placed += task.target ? 1 : 0;
     }
     if (placed == 0) {
+        if (!withinQuota(job, spec, spec.tasks, now))
+            return;
         std::vector<CellTarget*> chosen;
         if (!placeGang(options, spec, chosen)) {
             requestAdvice(job, stepKey, now);
@@ -223,7 +231,8 @@
         TaskState& task = state.tasks[i];
         if (!task.waiting() || task.run + 1 != run)
             continue; // The run of this member has ended, and its target ends the other members.
-        if (PlacementOption* option = chooseOption(options, { &spec, &task.avoid, {} })) {
+        if (PlacementOption* option
+            = withinQuota(job, spec, 1, now) ? chooseOption(options, { &spec, &task.avoid, {} }) : nullptr) {
             option->room -= spec.reserved();
             ++option->sameStep;
             assignTask(job, ready.taskKey(i), *option->target, now);
@@ -249,6 +258,7 @@
     occupant.run = run;
     occupant.phase = phase;
     occupant.taken = spec.reserved();
+    occupant.demand = spec.demand;
     occupant.checkpointing = spec.checkpointing;
     occupant.fills = spec.fills;
     occupant.serves = spec.tailTarget.count() > 0;
@@ -275,6 +285,7 @@
     task.begun = false;
     task.alone = false;
     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recording, now);
+    occupant.account = job.spec.account;
     occupant.bornAt = task.recordedBornAt;
     target.occupy(key, occupant);
     m_taskWaitSeconds.record(now - task.waitingSince);
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -63,12 +63,23 @@
         target = std::make_unique<CellTarget>();
         target->entry.id = id;
         target->serial = ++m_lastTargetSerial;
+        target->accountUsage = &m_accountUsage;
         // Runs that a former owner started there may be active until their leases have expired by the target's clock.
         target->lapsesBy = m_ownedSince + m_bounds.sessionTtl + bySlowestClock(leaseDuration()) + clockMargin;
     }
     return *target;
 }
 
+/** Returns a target that has a run of a former owner, which may be active until its lease has expired. */
+CellTarget& CellOwner::recoverTarget(const TargetId& id, const MachineId& machine, CalendarTime bornAt, Time now)
+{
+    CellTarget& target = findOrAddTarget(id);
+    target.entry.machine = machine;
+    target.entry.bornAt = std::max(target.entry.bornAt, bornAt);
+    target.lapsesBy = std::max(target.lapsesBy, restartLeaseEnd(target.entry.bornAt, now));
+    return target;
+}
+
 /**
  * Returns the time until which a target that has restarted may keep runs of a former owner. A lease that this owner
  * granted before it knew of the restart ends at a reading of the former clock, which the new one reaches far later: the
@@ -643,9 +654,12 @@
     Occupant occupant;
     occupant.run = row.run;
     occupant.phase = RunPhase::Running;
-    if (const StepSpec* spec = findStepSpec(row.task))
+    if (const CellJob* job = findJob(row.task.job))
+        occupant.account = job->spec.account;
+    if (const StepSpec* spec = findStepSpec(row.task)) {
         occupant.taken = spec->reserved();
-    else
+        occupant.demand = spec->demand;
+    } else
         occupant.sizeUnknown = true; // The specification of a finished job is no longer stored.
     target.occupy(row.task, occupant);
     beginStop(target, row.task, target.occupants.at(row.task), "the run is not assigned to this target", now);
--- a/src/cell_recovery.cpp
+++ b/src/cell_recovery.cpp
@@ -25,6 +25,7 @@
             LogLine(LogLevel::Error, "job_spec_unreadable").with("key", item.key).with("bytes", item.value.size());
     }
     const CalendarTime calendar = m_hooks.calendar();
+    std::map<AccountId, std::pair<Revision, Resources>> maximumAsOf; ///< By the latest record of the account's jobs.
     std::size_t runsToConfirm = 0;
     for (const StoreKeyValue& item : records.jobs) {
         auto owned = std::make_unique<CellJob>();
@@ -44,8 +45,12 @@
         job.submittedAt = now - age;
         job.finishedAt = now;
         m_jobs.emplace(id, std::move(owned));
-        if (isFinal(job.state))
+        if (!job.spec.account.empty() && item.modRevision > maximumAsOf[job.spec.account].first)
+            maximumAsOf[job.spec.account] = { item.modRevision, job.accountMaximum };
+        if (isFinal(job.state)) {
+            recoverLeavingRuns(job, now);
             continue;
+        }
         std::size_t openTasks = 0;
         std::size_t runs = 0;
         for (auto& [number, occurrence] : job.occurrences) {
@@ -59,12 +64,11 @@
                         continue;
                     // The run may still be active until the target's report or the end of its lease shows otherwise.
                     const StepSpec& spec = job.spec.steps[s];
-                    CellTarget& target = findOrAddTarget(task.recordedTarget);
-                    target.entry.machine = task.recordedMachine;
-                    target.entry.bornAt = std::max(target.entry.bornAt, task.recordedBornAt);
-                    target.lapsesBy = std::max(target.lapsesBy, restartLeaseEnd(target.entry.bornAt, now));
+                    CellTarget& target
+                        = recoverTarget(task.recordedTarget, task.recordedMachine, task.recordedBornAt, now);
                     task.target = &target;
                     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recovered, now);
+                    occupant.account = job.spec.account;
                     occupant.bornAt = task.recordedBornAt;
                     occupant.startedAt = now;
                     occupant.begun = task.begun;
@@ -81,6 +85,7 @@
                 }
             }
         }
+        recoverLeavingRuns(job, now);
         runsToConfirm += runs;
         LogLine(LogLevel::Info, "job_recovered")
             .with("job", id)
@@ -91,6 +96,9 @@
             .with("age_ms", age.count());
         activateJob(job, now);
     }
+    for (const auto& [account, latest] : maximumAsOf)
+        m_accountUsage.restoreMaximum(account, latest.second);
+    logRestoredUsage();
     LogLine(LogLevel::Info, "owner_began")
         .with("token", token)
         .with("jobs", m_jobs.size())
--- a/src/cell_target.cpp
+++ b/src/cell_target.cpp
@@ -21,6 +21,8 @@
     release(key);
     used += occupant.taken;
     unknownReservations += occupant.sizeUnknown ? 1 : 0;
+    if (accountUsage)
+        accountUsage->charge(accountRun(key, occupant));
     occupants.emplace(key, occupant);
     mayHaveOpenOrders = true;
 }
@@ -31,6 +33,8 @@
     if (const auto it = occupants.find(key); it != occupants.end()) {
         used -= it->second.taken;
         unknownReservations -= it->second.sizeUnknown ? 1 : 0;
+        if (accountUsage)
+            accountUsage->credit(accountRun(key, it->second));
         occupants.erase(it);
         if (reservedFor == key)
             reservedFor.reset();
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -1,6 +1,7 @@
 /** @file cell_target.h State of one target in the memory of the owner: capacity, clock, lease, runs, health. */
 #pragma once
 
+#include "account_usage.h"
 #include "cell_type.h"
 
 #include <algorithm>
@@ -26,6 +27,8 @@
     std::uint32_t run = 0;
     RunPhase phase = RunPhase::Recording;
     Resources taken; ///< Capacity reserved for the run.
+    AccountId account; ///< Account whose usage includes the run; empty for none.
+    Resources demand; ///< Declared demand of the task, which counts towards the account.
     bool sizeUnknown = false; ///< The reserved capacity is unknown; no further task is placed on the target meanwhile.
     bool checkpointing = false;
     bool fills = false; ///< Uses only processor time that other runs leave idle.
@@ -81,6 +84,7 @@
     Resources used; ///< Capacity reserved for all runs on the target.
     int unknownReservations = 0; ///< Number of runs whose reserved capacity is unknown.
     std::unordered_map<CellTaskKey, Occupant> occupants; ///< Runs on the target, by task.
+    AccountUsage* accountUsage = nullptr; ///< Counts the runs towards their accounts; null for no accounting.
     bool mayHaveOpenOrders = true; ///< False if no run is known to wait for an order or for its confirmation.
 
     /** Task that has the target for itself, once the other runs there have ended; set while it waits or runs. */
@@ -138,6 +142,10 @@
     CalendarTime latestBornAt() const { return std::max(entry.bornAt, reportedBornAt); }
     /** Returns the capacity that is not reserved. */
     Resources room() const { return entry.capacity - used; }
+    AccountRun accountRun(const CellTaskKey& key, const Occupant& occupant) const
+    {
+        return { occupant.account, key, entry.id, occupant.demand, occupant.sizeUnknown };
+    }
     void occupy(const CellTaskKey& key, const Occupant& occupant);
     void release(const CellTaskKey& key);
     /** Returns whether the runs need more than the capacity, which has shrunk since they were placed. */
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -174,10 +174,15 @@
         return spec;
     }
 
-    void submit(const std::string& id, std::vector<StepSpec> steps)
+    void submit(const std::string& id, std::vector<StepSpec> steps, const std::string& account = {})
     {
         CellJobSpec spec;
         spec.id = JobId(id);
+        spec.account = AccountId(account);
+        if (!account.empty()) {
+            accountOf[spec.id] = spec.account;
+            specs[spec.id] = steps;
+        }
         spec.queue = QueueId("q");
         spec.service = ServiceId("s");
         spec.payload = "payload";
@@ -226,6 +231,8 @@
                 owner->tick(now);
                 if (const std::size_t unattended = owner->unattendedTasks(now); unattended > 0)
                     violations.push_back(std::to_string(unattended) + " tasks that nothing moves on");
+                for (const AccountId& account : owner->accountsMiscounted())
+                    violations.push_back("the usage of account " + account.value + " is miscounted");
                 if (broker)
                     broker->tick(now);
                 log->tick(now);
@@ -307,6 +314,38 @@
             handle(event);
     }
 
+    /** Changes the maximum of an account, or adds the account. Work placed before may still start under the former one.
+     */
+    void setMaximum(const std::string& id, Resources maximum)
+    {
+        const auto it = std::find_if(config.accounts.begin(), config.accounts.end(),
+            [&](const ClientAccount& account) { return account.id == AccountId(id); });
+        AccountLimit& limit = m_accountLimits[AccountId(id)];
+        limit.former = limit.maximum;
+        limit.formerUntil = it == config.accounts.end() ? Time {} : now + 4500ms;
+        limit.maximum = maximum;
+        if (it == config.accounts.end())
+            config.accounts.push_back({ AccountId(id), {}, 1, maximum });
+        else
+            it->maximum = maximum;
+        ++config.version;
+        if (owner)
+            owner->setConfig(config);
+    }
+
+    /** Returns the demand of all runs of an account on all targets. */
+    Resources accountUse(const AccountId& account) const
+    {
+        Resources used;
+        for (const auto& [id, target] : targets) {
+            for (const auto& [key, run] : target.runs) {
+                if (const auto it = accountOf.find(key.job); it != accountOf.end() && it->second == account)
+                    used += specs.at(key.job).at(key.step).demand;
+            }
+        }
+        return used;
+    }
+
     /** Changes the capacity of a target. The owner may learn of a smaller one within 4.5 s only. */
     void resize(const TargetId& id, Resources capacity)
     {
@@ -533,6 +572,14 @@
                 && (now >= target.formerCapacityUntil || !used.fitsIn(target.formerCapacity)))
                 violations.push_back("capacity exceeded on " + target.entry.id.value);
         }
+        if (const auto account = accountOf.find(order.task.job); account != accountOf.end()) {
+            const Resources used = accountUse(account->second) + specs.at(order.task.job).at(order.task.step).demand;
+            const AccountLimit& limit = m_accountLimits[account->second];
+            if (!used.withinLimit(limit.maximum) && (now >= limit.formerUntil || !used.withinLimit(limit.former)))
+                violations.push_back("maximum of account " + account->second.value + " exceeded by "
+                    + taskText(order.task) + ": " + std::to_string(used.coresMilli) + " of "
+                    + std::to_string(limit.maximum.coresMilli));
+        }
         if (order.payload != "payload")
             violations.push_back("wrong payload for " + taskText(order.task));
     }
@@ -749,8 +796,16 @@
 
 public:
     std::map<JobId, std::vector<StepSpec>> specs; ///< Steps of the jobs whose use of capacity is checked.
+    std::map<JobId, AccountId> accountOf; ///< Accounts of the jobs that have one.
 
 private:
+    /** Maximum of an account, and the one before it, which is in force until a time. */
+    struct AccountLimit {
+        Resources maximum;
+        Resources former;
+        Time formerUntil {};
+    };
+    std::map<AccountId, AccountLimit> m_accountLimits;
     std::multimap<Time, std::function<void()>> m_events;
     std::map<HostId, Time> m_advisorIdleAt; ///< Time at which the advisor will have answered all calls of a host.
     std::set<CellTaskKey> m_acknowledgedTasks;
