--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -186,7 +186,7 @@
 AccountKeys::Match EntryNode::identify(
     const QueueConfig& queue, const std::optional<std::string>& authorization, bool repeated) const
 {
-    const AccountKeys::Match match = m_accountKeys.find(authorization, repeated);
+    AccountKeys::Match match = m_accountKeys.find(authorization, repeated);
     if (queue.requiresKey && match.verdict != KeyVerdict::Found) {
         m_unauthorized.add();
         LogLine(LogLevel::Info, "key_refused")
