--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -51,6 +51,10 @@
     , m_tasksGivenUp(metrics.counter("sp_cell_tasks_given_up_total", "Tasks given up because they crash targets."))
     , m_slowPlacements(metrics.counter("sp_cell_slow_placements_total",
           "Tasks placed on targets that are too slow for their queue, as no other allowed one had room."))
+    , m_quotaDenials(metrics.counter(
+          "sp_cell_quota_denials_total", "Times that work began to wait since its account was at its maximum."))
+    , m_accountsAtMaximum(metrics.gauge(
+          "sp_cell_accounts_at_maximum", "Accounts with work that waits since they are at their maximum."))
     , m_openJobs(metrics.gauge("sp_cell_open_jobs", "Jobs that have not ended."))
     , m_unattendedTasks(
           metrics.gauge("sp_cell_unattended_tasks", "Open tasks that no run, queue or question moves on."))
@@ -86,6 +90,7 @@
     m_batches = {};
     m_recordRemovals.clear();
     m_targets.clear();
+    m_accountUsage.clearRuns();
     m_targetList.reset();
     m_incarnationsChanged = false;
     m_reservations.clear();
@@ -158,6 +163,7 @@
     m_accountRates.setAccounts(config.accounts);
     for (const QueueConfig& queue : config.queues)
         m_queues[queue.id] = queue;
+    setAccounts(config.accounts);
 }
 
 const QueueConfig* CellOwner::queueOf(const CellJob& job) const
@@ -205,6 +211,8 @@
     const bool allAnswered = now - m_ownedSince > maxFirstAnswerTime;
     if (auto problem = jobSpecProblem(spec))
         return problem;
+    if (auto problem = quotaProblem(spec))
+        return problem;
     bool known = false;
     for (const StepSpec& step : spec.steps) {
         std::uint64_t places = 0;
@@ -491,6 +499,7 @@
         job->writing = true;
         job->onWritten = std::exchange(job->onSaved, {});
         batch.jobs.push_back(job);
+        noteAccountState(*job);
         const std::string& id = job->spec.id.value;
         writes.push_back({ StoreWrite::Kind::Put, CellKeys::jobs + id, encodeJobRecord(*job), {} });
         if (!job->specStored)
@@ -670,6 +679,7 @@
             it = gone ? m_targets.erase(it) : std::next(it);
         }
         releaseStaleReservations(now);
+        noteEndedDenials(now);
         m_usableTargets.clear();
         for (CellJob* job : m_open) {
             if (job->timed())
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -69,6 +69,8 @@
         maxAdvisedTargets, spec.gang };
     demand.tasks = static_cast<std::uint32_t>(
         std::count_if(state.tasks.begin(), state.tasks.end(), [](const TaskState& task) { return task.waiting(); }));
+    const std::uint32_t allowed = m_accountUsage.tasksThatMayStart(job.spec.account, spec.demand, demand.tasks);
+    demand.tasks = spec.gang && allowed < demand.tasks ? 0 : allowed;
     if (demand.tasks == 0)
         return;
     const StepAdvice& advice = state.advice;
@@ -131,7 +133,7 @@
         return false;
     }
     advice.needless = 0;
-    claimRoom(question, *state, job->spec.steps[question.step.step]);
+    claimRoom(question, *state, job->spec);
     m_adviceQuestions.add();
     m_adviceWaitSeconds.record(now - question.askedAt);
     LogLine(LogLevel::Info, "advice_asked")
@@ -145,13 +147,15 @@
  * Claims room on the targets whose tickets a question renews. Meanwhile no step of the same or a lower priority asks
  * for it, and no task of a lower priority is placed there.
  */
-void CellOwner::claimRoom(const AdviceQuestion& question, const StepState& state, const StepSpec& spec)
+void CellOwner::claimRoom(const AdviceQuestion& question, const StepState& state, const CellJobSpec& job)
 {
+    const StepSpec& spec = job.steps[question.step.step];
     for (const TargetId& id : question.targets) {
         CellTarget* target = state.advice.allowed.contains(id) ? findTarget(id) : nullptr;
         if (!target)
             continue;
-        AdviceClaim claim { question.step, question.priority, question.rank, {} };
+        AdviceClaim claim { question.step, question.priority, question.rank, {}, job.account,
+            spec.demand * (spec.gang ? spec.tasks : 1) };
         const std::uint32_t tasks = tasksThatFit({ target, target->room(), 0 }, spec);
         for (std::uint32_t i = 0; i < tasks; ++i)
             claim.room += spec.reserved();
@@ -172,7 +176,7 @@
 }
 
 /**
- * Returns the room on a target that other steps have claimed.
+ * Returns the room on a target that other steps have claimed. A step whose account is at its maximum claims none.
  * @param priority Priority of the step.
  * @param rank Rank of the step; if it is set, claims of its priority that are in a later band don't count.
  * @param use Placing: of the claims of the same priority, only those in an earlier band count. Without ranks, none.
@@ -190,7 +194,7 @@
     };
     if (const auto it = m_adviceClaims.find(target); it != m_adviceClaims.end()) {
         for (const AdviceClaim& claim : it->second) {
-            if (claim.step != step && counts(claim))
+            if (claim.step != step && counts(claim) && m_accountUsage.mayStart(claim.account, claim.leastDemand))
                 sum += claim.room;
         }
     }
