Add: precedence and claims of lasting tasks that must be placed again

Cause: a lasting task whose run has ended needed room and a ticket at the same moment and held neither, while shorter work took each core that became free.

Change, with and without client accounts: such steps go before all other work (priority -1), claim room on two allowed targets for each task whether it is free already or not, and ask for tickets of these targets. They ask again at once. A task that has failed more than twice gets no precedence, since it would take it each time. advice_asked logs priority and band.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -38,6 +38,8 @@
     , m_jobsShed(metrics.counter("sp_cell_jobs_shed_total", "Jobs refused because the owner lags behind its load."))
     , m_jobsBeyondRate(metrics.counter(
           "sp_cell_jobs_beyond_rate_total", "Jobs accepted beyond the usual rate of their client account."))
+    , m_restarts(metrics.counter(
+          "sp_cell_lasting_restarts_total", "Lasting tasks that were placed again after the end of a run."))
     , m_accountsAboveShare(metrics.gauge(
           "sp_cell_accounts_above_share", "Client accounts that run more than their share of a full service."))
     , m_startOrders(metrics.counter("sp_cell_starts_total", "Start orders sent."))
@@ -90,6 +92,7 @@
     m_usableTargets.clear();
     m_reachability.clear();
     m_adviceClaims.clear();
+    m_restartClaims.clear();
     m_admission = {};
     m_accountRates = {};
     m_accountRates.setAccounts(m_config.accounts);
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -159,6 +159,9 @@
     static constexpr std::size_t maxAdvisedTargets = 30;
     /** Covers the store write and the call between a placement and its start. */
     static constexpr std::chrono::milliseconds ticketMargin { 300 };
+    /** Priority of lasting tasks whose run has ended: before all queues, since room would go to shorter work for ever.
+     */
+    static constexpr int restartPriority = -1;
     /** Short enough to renew a lease several times before it expires. */
     static constexpr std::chrono::milliseconds reportWait { 1500 };
     /** Tasks of one step end close together; one report then covers several of them. */
@@ -174,6 +177,7 @@
             = false; ///< The job is too far past its objective to have any value; sorted last in its priority.
         Time objectiveTime {};
         std::optional<WorkRank> rank; ///< Set if the cell has client accounts; then sorts before objectiveTime.
+        bool restart = false; ///< Has lasting tasks whose run has ended, see mustRestart().
         bool roomSoon = true; ///< The tasks may find room while a ticket that is asked for now is valid.
 
         StepKey stepKey() const { return { job->spec.id, occurrence, step }; }
@@ -307,6 +311,8 @@
     void assignTask(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
     std::optional<WorkRank> rankOf(const CellJob& job, std::uint32_t occurrence, std::uint32_t step, Time now) const;
     void updateShares(Time now);
+    static bool mustRestart(const StepSpec& spec, const TaskState& task);
+    void claimRoomForRestarts(const std::vector<ReadyStep>& ready, Time now);
     void forecastRoom(std::vector<ReadyStep>& ready, Time now);
     static std::chrono::milliseconds adviceTime(const QueueConfig& queue);
     void requestAdvice(const ReadyStep& ready, Time now);
@@ -314,6 +320,7 @@
     const std::vector<CellTarget*>& usableTargets(const ServiceId& service, Time now);
     void claimRoom(const AdviceQuestion& question, const StepState& state, const StepSpec& spec);
     void releaseClaims(const AdviceQuestion& question);
+    bool hasRestartClaim(const TargetId& target, const StepKey& step) const;
     enum class ClaimUse : std::uint8_t { Asking, Placing };
     Resources claimedRoom(const TargetId& target, const StepKey& step, int priority,
         const std::optional<WorkRank>& rank, ClaimUse use) const;
@@ -357,6 +364,8 @@
     /** Moving average of the share of targets that the advisor allows, by queue. */
     std::map<QueueId, double> m_allowedShare;
     std::map<TargetId, std::vector<AdviceClaim>> m_adviceClaims; ///< Claims of questions that are not answered yet.
+    /** Claims of lasting tasks that must be placed again; determined before each placement. */
+    std::map<TargetId, std::vector<AdviceClaim>> m_restartClaims;
     std::map<DataCentreId, DataCentreReachability> m_reachability;
     bool m_dataCentreSuspect = false; ///< Some data centre does not answer; determined in each sweep.
     double m_lossRate = 0; ///< Moving average of the share of calls to targets that get no answer.
@@ -370,6 +379,7 @@
     Counter& m_jobsRefused;
     Counter& m_jobsShed;
     Counter& m_jobsBeyondRate;
+    Counter& m_restarts;
     Gauge& m_accountsAboveShare;
     Counter& m_startOrders;
     Counter& m_startsUnanswered;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -14,6 +14,9 @@
     /** Delay before the next search for candidate targets while all are full. */
     constexpr std::chrono::milliseconds adviceIdlePause { 40 };
     constexpr int maxIdlePauseDoublings = 3; ///< Limits the cost of many steps that wait for room in a large cell.
+    /** A lasting task whose run has ended asks about enough targets for this number of tasks, as a denial costs it
+     * another call. */
+    constexpr std::uint32_t minTasksOfRestart = 4;
     /** Initial share of allowed targets, until a queue's advisor has answered. */
     constexpr double initialAllowedShare = 0.5;
 
@@ -71,6 +74,9 @@
         std::count_if(state.tasks.begin(), state.tasks.end(), [](const TaskState& task) { return task.waiting(); }));
     if (demand.tasks == 0)
         return;
+    const bool restart = question.priority == restartPriority;
+    if (restart)
+        demand.tasks = std::max(demand.tasks, minTasksOfRestart);
     const StepAdvice& advice = state.advice;
     const auto sameStep = state.tasksByTarget();
     const std::uint64_t seed = fnvHash(stepText(question.step));
@@ -97,6 +103,9 @@
             const auto same = sameStep.find(target);
             candidate.fits = tasksThatFit({ target, room, same == sameStep.end() ? 0 : same->second }, spec);
         }
+        // Room that is claimed will be free when the answer is there, or while its ticket is valid.
+        if (restart && candidate.fits == 0 && hasRestartClaim(target->id(), question.step))
+            candidate.fits = 1;
         candidate.rank = mixed(seed ^ target->serial);
         candidates.push_back(candidate);
     }
@@ -125,7 +134,9 @@
     fillQuestion(*job, question, now);
     if (question.targets.empty()) {
         advice.inFlight = std::max(0, advice.inFlight - 1);
-        advice.notBefore = now + adviceIdlePause * (1 << std::min(advice.needless++, maxIdlePauseDoublings));
+        advice.notBefore = now
+            + adviceIdlePause
+                * (question.priority == restartPriority ? 1 : 1 << std::min(advice.needless++, maxIdlePauseDoublings));
         return false;
     }
     advice.needless = 0;
@@ -135,6 +146,8 @@
     LogLine(LogLevel::Info, "advice_asked")
         .with("step", stepText(question.step))
         .with("targets", question.targets.size())
+        .with("priority", question.priority)
+        .with("band", question.rank ? workBandName(question.rank->band) : "")
         .with("waited_ms", toMs(now - question.askedAt));
     return true;
 }
@@ -186,7 +199,10 @@
             return claim.rank->band < rank->band;
         return use == ClaimUse::Asking;
     };
-    if (const auto it = m_adviceClaims.find(target); it != m_adviceClaims.end()) {
+    for (const auto* claims : { &m_adviceClaims, &m_restartClaims }) {
+        const auto it = claims->find(target);
+        if (it == claims->end())
+            continue;
         for (const AdviceClaim& claim : it->second) {
             if (claim.step != step && counts(claim))
                 sum += claim.room;
@@ -195,6 +211,14 @@
     return sum;
 }
 
+bool CellOwner::hasRestartClaim(const TargetId& target, const StepKey& step) const
+{
+    const auto it = m_restartClaims.find(target);
+    return it != m_restartClaims.end()
+        && std::any_of(
+            it->second.begin(), it->second.end(), [&](const AdviceClaim& claim) { return claim.step == step; });
+}
+
 /** Records the targets that the advisor allows or denies. Denials are final for the step. */
 void CellOwner::onAdvice(const AdviceQuestion& question, const AdviceReply& reply, Time now)
 {
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -101,6 +101,13 @@
                     const bool late = now - job->submittedAt > job->objective * lateObjectiveFactor;
                     ready.push_back({ job, number, s, priority, late && !job->spec.steps[s].lasting, job->objectiveAt(),
                         rankOf(*job, number, s, now) });
+                    ReadyStep& added = ready.back();
+                    const StepSpec& spec = job->spec.steps[s];
+                    added.restart = spec.lasting
+                        && std::any_of(step.tasks.begin(), step.tasks.end(),
+                            [&](const TaskState& task) { return mustRestart(spec, task); });
+                    if (added.restart)
+                        added.priority = restartPriority;
                 }
             }
         }
@@ -119,6 +126,7 @@
         return;
     updateShares(now);
     std::vector<ReadyStep> ready = readySteps(now);
+    claimRoomForRestarts(ready, now);
     forecastRoom(ready, now);
     for (const ReadyStep& step : ready)
         placeStep(step, now);
@@ -271,6 +279,7 @@
     task.recordedMachine = target.entry.machine;
     task.begun = false;
     task.alone = false;
+    m_restarts.add(spec.lasting && task.run > 1 ? 1 : 0);
     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recording, now);
     occupant.bornAt = task.recordedBornAt;
     target.occupy(key, occupant);
--- a/src/cell_owner_order.cpp
+++ b/src/cell_owner_order.cpp
@@ -7,6 +7,20 @@
 
 namespace sp {
 
+namespace {
+
+    /** Returns the part of a demand that fits into a room, by its scarcest resource; 1 if all of it does. */
+    double fittingPart(const Resources& demand, const Resources& room)
+    {
+        const auto part = [](std::int64_t wanted, std::int64_t free) {
+            return wanted > 0 ? static_cast<double>(free) / static_cast<double>(wanted) : 1.0;
+        };
+        return std::min({ 1.0, part(demand.coresMilli, room.coresMilli), part(demand.memoryMb, room.memoryMb),
+            part(demand.accelerators, room.accelerators) });
+    }
+
+} // namespace
+
 /** Returns the longest time of a call to a queue's advisor, 0 if it has none. */
 std::chrono::milliseconds CellOwner::adviceTime(const QueueConfig& queue)
 {
@@ -43,6 +57,60 @@
     return workRank(item, now);
 }
 
+/**
+ * Returns whether a task lasts and waits because its run has ended. A task that has failed several times is not
+ * counted, since it would take the precedence each time.
+ */
+bool CellOwner::mustRestart(const StepSpec& spec, const TaskState& task)
+{
+    constexpr std::uint32_t maxFailures = 2; ///< Failures of so many runs may be those of their targets.
+    return spec.lasting && !spec.gang && !task.suspect && task.waiting() && task.run > 0
+        && task.failures <= maxFailures;
+}
+
+/**
+ * Claims room for lasting tasks whose run has ended, on targets that their advisor has allowed, whether it is free
+ * already or not. No other work gets it, so that the room is there once the ticket is.
+ */
+void CellOwner::claimRoomForRestarts(const std::vector<ReadyStep>& ready, Time now)
+{
+    /** The target on which room is free first is not known; a claim on two of them halves the wait. */
+    constexpr std::size_t targetsPerTask = 2;
+    m_restartClaims.clear();
+    for (const ReadyStep& step : ready) {
+        if (!step.restart)
+            break; // These steps are sorted first.
+        const StepSpec& spec = step.job->spec.steps[step.step];
+        const StepState& state = *step.job->step(step.stepKey());
+        const QueueConfig* queue = queueOf(*step.job);
+        std::vector<CellTarget*> targets;
+        for (CellTarget* target : usableTargets(serviceOf(*step.job), now)) {
+            if (!target->reservedFor && mayEverRun(*target, spec)
+                && (!queue || !queue->advisor || state.advice.allowed.contains(target->id())))
+                targets.push_back(target);
+        }
+        for (const TaskState& task : state.tasks) {
+            if (!mustRestart(spec, task))
+                continue;
+            std::vector<std::pair<double, CellTarget*>> best;
+            best.reserve(targets.size());
+            for (CellTarget* target : targets)
+                best.emplace_back(
+                    -fittingPart(spec.reserved(),
+                        target->room() - claimedRoom(target->id(), {}, restartPriority, {}, ClaimUse::Asking)),
+                    target);
+            const std::size_t count = std::min(targetsPerTask, best.size());
+            std::partial_sort(best.begin(), best.begin() + static_cast<std::ptrdiff_t>(count), best.end(),
+                [](const auto& a, const auto& b) {
+                    return a.first != b.first ? a.first < b.first : a.second->serial < b.second->serial;
+                });
+            for (std::size_t i = 0; i < count; ++i)
+                m_restartClaims[best[i].second->id()].push_back(
+                    { step.stepKey(), restartPriority, step.rank, spec.reserved() });
+        }
+    }
+}
+
 /**
  * Determines which steps may find room within the validity of a ticket, given those that go before them. A question
  * about any other step would take the advisor's time from them, and its tickets would expire unused.
