Add: limits for untrusted clients of an entry process

Cause: a crowd of connections raised the memory of an entry host far over that of the smallest hosts: bodies of up to 1 MiB were kept on up to 2,000 connections, and bodies over the limit were read to their end.

--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -74,6 +74,9 @@
     std::vector<ServiceConfig> services;
     std::vector<ClientAccount> accounts; ///< Empty if the cell has no client accounts.
     std::size_t maxBodyBytes = 262144; ///< Maximum size of a request body.
+    std::size_t maxHeaderBytes = 16384; ///< Maximum size of the headers of a request.
+    std::chrono::milliseconds headerTimeout { 3000 }; ///< For the headers of a request, from their first byte.
+    std::chrono::milliseconds idleTimeout { 15000 }; ///< A caller's connection without a request is closed then.
 
     const QueueConfig* queue(const QueueId& id) const;
     const ServiceConfig* service(const ServiceId& id) const;
