--- a/tests/test_byte_budget.cpp
+++ b/tests/test_byte_budget.cpp
@@ -7,50 +7,50 @@
 
 namespace {
 
-constexpr std::size_t KiB = 1024;
-constexpr std::size_t MiB = 1024 * KiB;
-constexpr std::size_t body = 256 * KiB; ///< The largest legal one.
+constexpr std::size_t kib = 1024;
+constexpr std::size_t mib = 1024 * kib;
+constexpr std::size_t body = 256 * kib; ///< The largest legal one.
 
 } // namespace
 
 // Guards against a budget that refuses single requests on the smallest hosts, or exceeds their memory.
 TEST_CASE("each host has room for a legal body, and the budget is a part of its memory")
 {
-    for (const std::size_t memory : { 16 * MiB, 40 * MiB, 120 * MiB, 512 * MiB }) {
+    for (const std::size_t memory : { 16 * mib, 40 * mib, 120 * mib, 512 * mib }) {
         CAPTURE(memory);
         const ByteBudgetLimits limits = byteBudgetLimits(memory);
         CHECK(limits.total <= memory / 4);
         const ByteBudget budget(limits);
         CHECK(budget.mayTake(ByteUse::Callers, body, body));
-        CHECK(budget.mayTake(ByteUse::Cell, MiB, MiB));
+        CHECK(budget.mayTake(ByteUse::Cell, mib, mib));
     }
 }
 
 // Guards against large bodies of callers that leave no room for ordinary requests or for other hosts.
 TEST_CASE("large bodies leave room for small requests, and callers leave room for other hosts")
 {
-    ByteBudget budget({ 1000 * KiB, 200 * KiB, 100 * KiB });
-    budget.hold(ByteUse::Callers, 600 * KiB);
-    CHECK(budget.mayTake(ByteUse::Callers, 100 * KiB, 100 * KiB));
-    CHECK(budget.lacking(ByteUse::Callers, body, 100 * KiB + 1) == 1);
-    budget.hold(ByteUse::Callers, 100 * KiB);
-    CHECK_FALSE(budget.mayTake(ByteUse::Callers, 20 * KiB, 1));
-    CHECK(budget.mayTake(ByteUse::Callers, 16 * KiB, 16 * KiB));
-    budget.hold(ByteUse::Callers, 100 * KiB);
+    ByteBudget budget({ 1000 * kib, 200 * kib, 100 * kib });
+    budget.hold(ByteUse::Callers, 600 * kib);
+    CHECK(budget.mayTake(ByteUse::Callers, 100 * kib, 100 * kib));
+    CHECK(budget.lacking(ByteUse::Callers, body, 100 * kib + 1) == 1);
+    budget.hold(ByteUse::Callers, 100 * kib);
+    CHECK_FALSE(budget.mayTake(ByteUse::Callers, 20 * kib, 1));
+    CHECK(budget.mayTake(ByteUse::Callers, 16 * kib, 16 * kib));
+    budget.hold(ByteUse::Callers, 100 * kib);
     CHECK_FALSE(budget.mayTake(ByteUse::Callers, 1, 1));
-    CHECK(budget.mayTake(ByteUse::Cell, 200 * KiB, 200 * KiB));
-    CHECK_FALSE(budget.mayTake(ByteUse::Cell, 200 * KiB, 200 * KiB + 1));
-    budget.release(ByteUse::Callers, 800 * KiB);
+    CHECK(budget.mayTake(ByteUse::Cell, 200 * kib, 200 * kib));
+    CHECK_FALSE(budget.mayTake(ByteUse::Cell, 200 * kib, 200 * kib + 1));
+    budget.release(ByteUse::Callers, 800 * kib);
     CHECK(budget.held() == 0);
-    CHECK(budget.mayTake(ByteUse::Cell, MiB, 1000 * KiB));
+    CHECK(budget.mayTake(ByteUse::Cell, mib, 1000 * kib));
 }
 
 TEST_CASE("what other hosts hold beyond their reserve is not given to callers, too")
 {
-    ByteBudget budget({ 1000 * KiB, 200 * KiB, 100 * KiB });
-    budget.hold(ByteUse::Cell, 900 * KiB);
-    CHECK(budget.mayTake(ByteUse::Callers, 1, 100 * KiB));
-    CHECK(budget.lacking(ByteUse::Callers, 1, 100 * KiB + 1) == 1);
+    ByteBudget budget({ 1000 * kib, 200 * kib, 100 * kib });
+    budget.hold(ByteUse::Cell, 900 * kib);
+    CHECK(budget.mayTake(ByteUse::Callers, 1, 100 * kib));
+    CHECK(budget.lacking(ByteUse::Callers, 1, 100 * kib + 1) == 1);
 }
 
 // Guards against a crowd of stalled uploads that blocks all later ones.
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -22,7 +22,7 @@
 
 constexpr const char* settingsText = R"({"node_name":"n1","ip":"10.1.0.13","zone":"z","new_field":[1],
     "listen_addrs":{"front":"10.1.0.13:81","ready":"10.1.0.13:82"},"internal_port_range":[7720,7735],
-    "limits":{"cpu_share":0.25,"cores":2},"hint":"10.2.0.1:5","platform":{"address":"10.2.0.2:6","min_ttl_ms":1500},
+    "limits":{"cpu_share":0.25,"cores":2,"memory_mb":120,"max_fds":3075},"hint":"10.2.0.1:5","platform":{"address":"10.2.0.2:6","min_ttl_ms":1500},
     "bounds":{"max_hold_ms":8000,"grace_s":6.5,"status_s":120,"stop_timeout_ms":200,"impact_ms":4000}})";
 
 } // namespace
@@ -38,6 +38,8 @@
             CHECK(settings.bounds.statusKept == 120s);
             CHECK(settings.shutdownTime == 6500ms);
             CHECK(settings.leaseTtl == 2s);
+            CHECK(settings.memoryMb == 120);
+            CHECK(settings.maxDescriptors == 3075);
             return {};
         },
         [] { FAIL("not decoded"); });
@@ -189,6 +191,35 @@
     CHECK_FALSE(decodeOrderAnswer(200, R"({"clock_ms":1e300})").clock.has_value());
 }
 
+// Guards against legal bodies that take a multiple of the memory of a small host when they are parsed or planned.
+TEST_CASE("jobs of unusual shape are refused before they take memory")
+{
+    const auto job = [](const std::string& steps, const std::string& more = {}) {
+        return static_cast<bool>(decodeJob(R"({"steps":)" + steps + more + "}"));
+    };
+    const auto repeated = [](const std::string& text, std::size_t count) {
+        std::string all = text;
+        for (std::size_t i = 1; i < count; ++i)
+            all += "," + text;
+        return "[" + all + "]";
+    };
+    const std::string step = R"({"task_count":1})";
+    CHECK(job(repeated(step, 1024)));
+    CHECK_FALSE(job(repeated(step, 1025)));
+    CHECK(job(R"([{"task_count":9999},{"task_count":1}])"));
+    CHECK_FALSE(job(R"([{"task_count":10000},{"task_count":1}])"));
+    CHECK_FALSE(job(repeated(R"({"task_count":4294967295})", 1024)));
+    CHECK(job("[" + step + "]", R"(,"spec":")" + std::string(4000, 'x') + '"'));
+    CHECK_FALSE(job("[" + step + "]", R"(,"spec":")" + std::string(4001, 'x') + '"'));
+    CHECK(job("[" + step + "]", R"(,"note":)" + std::string(15, '[') + std::string(15, ']')));
+    CHECK_FALSE(job("[" + step + "]", R"(,"note":)" + std::string(16, '[') + std::string(16, ']')));
+    CHECK_FALSE(job("[" + step + "]", R"(,"note":)" + std::string(100000, '[')));
+    CHECK(job("[" + step + "]", R"(,"note":)" + repeated("1", 65000)));
+    CHECK_FALSE(job("[" + step + "]", R"(,"note":)" + repeated("1", 65537)));
+    CHECK_FALSE(job("[" + step + "]", R"(,"note":)" + repeated("{}", 65536)));
+    CHECK(job("[" + step + "]", R"(,"note":"\\\"[[[[[[[[[[[[[[[[[[[[[[[[")")); // Brackets in a text count for nothing.
+}
+
 TEST_CASE("a report lists runs and ends, and an unknown name is an error")
 {
     leaf::try_handle_all(
@@ -272,12 +303,15 @@
                 {"name":"q1","host":"h","prefix":"/a/","service":"s","timeout_ms":3000,"priority":0,"max_attempts":2,
                  "slack_factor":1.5,"hint":{"decision_ms":19.0,"per_worker_ms":0.28,"validity_ms":2000}},
                 {"name":"q2","host":"h","prefix":"/a/b/","service":"s","timeout_ms":3000}],
-                "services":[{"name":"s","enforce_limits":false,"standby":false}],"limits":{"max_body_bytes":99}})"));
+                "services":[{"name":"s","enforce_limits":false,"standby":false}],"limits":{"max_body_bytes":99,"header_timeout_ms":500}})"));
             CHECK(config.match("h", "/a/x")->id == QueueId("q1"));
             CHECK(config.match("h", "/a/b/x")->id == QueueId("q2"));
             CHECK(config.match("g", "/a/x") == nullptr);
             CHECK(config.queues[0].advisor->callTime(10) == 21800us);
             CHECK(config.maxBodyBytes == 99);
+            CHECK(config.maxHeaderBytes == 16384);
+            CHECK(config.headerTimeout == 500ms);
+            CHECK(config.idleTimeout == 15s);
             return {};
         },
         [] { FAIL("not decoded"); });
