--- a/src/byte_budget.cpp
+++ b/src/byte_budget.cpp
@@ -38,12 +38,10 @@
     const auto excess = [more](std::size_t heldBytes, std::size_t limit) {
         return heldBytes + more > limit ? heldBytes + more - limit : 0;
     };
-    std::size_t lack = excess(held(), m_limits.total);
-    if (use == ByteUse::Callers) {
-        const std::size_t reserved = m_limits.cellReserve + (body > smallBody ? m_limits.smallReserve : 0);
-        lack = std::max(lack, excess(m_callers, m_limits.total - reserved));
-    }
-    return lack;
+    if (use == ByteUse::Cell) // Other hosts are trusted; what callers hold must not keep them out.
+        return excess(m_cell, m_limits.total);
+    const std::size_t limit = m_limits.total - (body > smallBody ? m_limits.smallReserve : 0);
+    return std::max(excess(held(), limit), excess(m_callers, limit - m_limits.cellReserve));
 }
 
 /** Counts bytes, also beyond the limits. @param use Whose they are. @param bytes Number. */
--- a/src/byte_budget.h
+++ b/src/byte_budget.h
@@ -17,7 +17,7 @@
 
 /** Shares of a budget. */
 struct ByteBudgetLimits {
-    std::size_t total = 0;
+    std::size_t total = 0; ///< Callers are kept out when all hold this much; the cell's own requests may go beyond.
     std::size_t cellReserve = 0; ///< Part that callers can't use.
     std::size_t smallReserve = 0; ///< Part of the callers' share that large bodies can't use.
 };
