Add: preemption of less urgent runs for steps without room

Cause: a quick step in a cell full of long work waited for natural ends, longer than its objective allows.

Change: displacement.{h,cpp} chooses the runs to stop; CellOwner (cell_owner_displacement.cpp) asks it where placeStep finds no room, stops the runs, and claims their room for the step until its tasks are placed. Only confirmed runs of less urgent queues that save checkpoints are chosen, at most three times for each task. Without accounts, only once the objective is at risk. Counters sp_cell_displaced_runs_total and sp_cell_displaced_core_ms_total, one log line runs_displaced for a decision.

All test_cell_* programs pass.

--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -35,6 +35,7 @@
     CalendarTime recordedBornAt {}; ///< Start time of that target's incarnation, to which the run was assigned.
     MachineId recordedMachine; ///< Machine of that target.
     std::string checkpoint; ///< Most recent checkpoint.
+    std::uint32_t displaced = 0; ///< Number of runs stopped for more urgent work; only those that this owner stopped.
     std::set<TargetId> avoid; ///< Targets on which a run of this task failed or made no progress.
     Time waitingSince {}; ///< Time since which the task has been waiting for a target.
 
@@ -65,6 +66,7 @@
     std::uint32_t done = 0; ///< Number of tasks that are done.
     StepAdvice advice;
     Time readyAt {}; ///< Time at which all preceding steps were complete; unset before.
+    Time displacementNotBefore {}; ///< Runs are displaced for the step no more often than this allows.
     bool mayHaveWaitingTasks = true; ///< False if all tasks are known to be placed or done.
 
     /** Returns whether all tasks of the step are done. */
@@ -118,6 +120,12 @@
         return spec.schedule.firstDue + spec.schedule.interval * static_cast<std::int64_t>(occurrence);
     }
     Time objectiveAt() const { return submittedAt + objective; }
+    /** Returns whether the job is too late to be of any value. */
+    bool hasLostValue(Time now) const
+    {
+        constexpr int lateObjectiveFactor = 3; ///< A job that ends after this multiple of its objective earns nothing.
+        return now - submittedAt > objective * lateObjectiveFactor;
+    }
     OccurrenceState& beginOccurrence(std::uint32_t number);
     TaskState* task(const CellTaskKey& key);
     StepState* step(const StepKey& key);
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -42,6 +42,10 @@
     , m_runStops(metrics.counter("sp_cell_stops_total", "Runs that were ordered to stop."))
     , m_reportRequests(metrics.counter("sp_cell_looks_total", "Reports asked of targets."))
     , m_adviceQuestions(metrics.counter("sp_cell_advice_questions_total", "Questions to the advisor."))
+    , m_displacedRuns(
+          metrics.counter("sp_cell_displaced_runs_total", "Runs stopped to make room for more urgent work."))
+    , m_displacedCoreMs(metrics.counter(
+          "sp_cell_displaced_core_ms_total", "Core time lost in runs that were stopped for more urgent work, in ms."))
     , m_crashesCounted(metrics.counter(
           "sp_cell_task_crashes_total", "Crashes of targets, counted for each task that they had started."))
     , m_tasksGivenUp(metrics.counter("sp_cell_tasks_given_up_total", "Tasks given up because they crash targets."))
@@ -619,6 +623,7 @@
             it = gone ? m_targets.erase(it) : std::next(it);
         }
         releaseStaleReservations(now);
+        releaseStaleDisplacementClaims(now);
         m_usableTargets.clear();
         for (CellJob* job : m_open) {
             if (job->timed())
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -4,6 +4,7 @@
 #include "admission.h"
 #include "cell_job.h"
 #include "cell_target.h"
+#include "displacement.h"
 #include "metrics.h"
 #include "placement.h"
 #include "record_log.h"
@@ -173,11 +174,15 @@
         CellTaskKey taskKey(std::uint32_t index) const { return { job->spec.id, occurrence, step, index }; }
     };
 
-    /** Room on a target that a step will use once its question is answered. */
+    /** Room on a target that a step will use once its question is answered, or once displaced runs there have ended. */
     struct AdviceClaim {
         StepKey step;
-        int priority = 0; ///< Priority of the step's queue.
+        /** Priority of the step's queue. For displaced runs it is one less, so that the claim binds the placement of
+         * other steps of the same priority as well. */
+        int priority = 0;
         Resources room;
+        std::uint32_t tasks = 0; ///< Number of tasks for which runs are displaced; 0 for a question.
+        Time heldUntil {}; ///< End of a claim for displaced runs.
     };
 
     /** Contents of the transaction that a lane is writing. */
@@ -303,6 +308,15 @@
     void claimRoom(const AdviceQuestion& question, const StepState& state, const StepSpec& spec);
     void releaseClaims(const AdviceQuestion& question);
     Resources claimedRoom(const TargetId& target, const StepKey& step, int priority) const;
+    bool mayDisplace(const ReadyStep& ready, Time now) const;
+    bool advicePromisesRoom(const ReadyStep& ready, std::uint32_t lacking, Time now);
+    std::optional<DisplaceableRun> displaceableRun(
+        const CellTaskKey& key, const Occupant& occupant, int priority, Time now) const;
+    std::vector<CellTarget*> displacementTargets(const ReadyStep& ready, Time now);
+    void displaceFor(const ReadyStep& ready, Time now);
+    void useDisplacementClaim(const CellTarget& target, const StepKey& step, const Resources& room);
+    void releaseStaleDisplacementClaims(Time now);
+    void countDisplacementLoss(const Occupant& occupant, const EndRow& end, Time now);
     void placeGangStep(const ReadyStep& ready, std::vector<PlacementOption>& options, Time now);
     void wakeBy(Time at) { m_wakeAt = m_wakeAt ? std::min(*m_wakeAt, at) : at; }
     std::chrono::milliseconds leaseDuration() const;
@@ -356,6 +370,8 @@
     Counter& m_runStops;
     Counter& m_reportRequests;
     Counter& m_adviceQuestions;
+    Counter& m_displacedRuns;
+    Counter& m_displacedCoreMs;
     Counter& m_crashesCounted;
     Counter& m_tasksGivenUp;
     Gauge& m_openJobs;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -156,7 +156,8 @@
         const auto it = m_adviceClaims.find(id);
         if (it == m_adviceClaims.end())
             continue;
-        std::erase_if(it->second, [&](const AdviceClaim& claim) { return claim.step == question.step; });
+        std::erase_if(
+            it->second, [&](const AdviceClaim& claim) { return claim.step == question.step && claim.tasks == 0; });
         if (it->second.empty())
             m_adviceClaims.erase(it);
     }
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -172,6 +172,7 @@
         return;
     }
     bool hasUnplaced = false;
+    bool lacksRoom = false;
     for (std::uint32_t i = 0; i < spec.tasks; ++i) {
         TaskState& task = state.tasks[i];
         if (!task.waiting())
@@ -184,6 +185,7 @@
         PlacementOption* option = chooseOption(options, { &spec, &task.avoid, {} });
         if (!option) {
             hasUnplaced = true;
+            lacksRoom = true;
             break;
         }
         option->room -= spec.reserved();
@@ -192,6 +194,8 @@
     }
     if (hasUnplaced)
         requestAdvice(job, stepKey, now);
+    if (lacksRoom)
+        displaceFor(ready, now);
 }
 
 /** Places a whole gang, or places a member again whose start was refused while the others wait for it. */
@@ -277,6 +281,7 @@
     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recording, now);
     occupant.bornAt = task.recordedBornAt;
     target.occupy(key, occupant);
+    useDisplacementClaim(target, key.stepKey(), occupant.taken);
     m_taskWaitSeconds.record(now - task.waitingSince);
     LogLine(LogLevel::Info, "task_placed")
         .with("task", taskText(key))
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -528,6 +528,7 @@
             constexpr double maxRunTimeRatio = 4.0;
             target.slowness += weight * (std::clamp(ratio, minRunTimeRatio, maxRunTimeRatio) - target.slowness);
         }
+        countDisplacementLoss(it->second, end, now);
         target.release(end.task);
     }
     m_dispatchDue = true;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -62,6 +62,12 @@
     Duration orderTimeout { 500ms }; ///< Time after which an unanswered order counts as lost.
     Duration longPollMargin { 600ms }; ///< Time after the end of a long poll at which it counts as lost.
     int loseEveryNthCall = 0; ///< One in this many calls to targets is carried out without an answer; 0 for none.
+    /** Returns whether the runs of a task save their progress when they are stopped; none if empty. */
+    std::function<bool(const CellTaskKey&)> savesProgress;
+    Duration restoreTime { 400ms }; ///< Time that a run takes to restore a checkpoint.
+    int restores = 0; ///< Number of runs that were started with a checkpoint.
+    /** Returns whether a target carries out the stop order for a task; all do if empty. */
+    std::function<bool(const TargetId&, const CellTaskKey&)> obeysStop;
     Duration stopsTake { 1ms }; ///< Time from a stop order to the end of the run.
     /** Time that the owner takes for each event that it handles and each order that it sends; what arrives meanwhile
      * waits for the end of its turn. 0 for an owner that takes no time. */
@@ -260,7 +266,9 @@
         if (it == target.runs.end())
             return;
         target.stopped.emplace(key, it->second.run);
-        target.ends.push_back({ ++target.lastEnd, key, it->second.run, kind, {} });
+        const bool saves = kind == EndKind::Stopped && savesProgress && savesProgress(key);
+        target.ends.push_back(
+            { ++target.lastEnd, key, it->second.run, kind, saves ? checkpointOf(it->second) : std::string() });
         target.endedAt[target.lastEnd] = now;
         target.runs.erase(it);
         if (target.reachable && target.answerLongPoll)
@@ -425,6 +433,14 @@
         });
     }
 
+    /** Returns the work that a run has done, in ms. */
+    std::string checkpointOf(const WorldRun& run) const
+    {
+        const Duration restoring = run.restoredWork > Duration(0) ? restoreTime : Duration(0);
+        const Duration work = run.restoredWork + std::max(Duration(0), now - run.startedAt - restoring);
+        return std::to_string(std::max<std::int64_t>(1, toMs(work)));
+    }
+
     std::chrono::milliseconds clockOf(const WorldTarget& target) const
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - target.clockStart);
@@ -473,6 +489,11 @@
         checkStart(target, order);
         prolongLease(target, order.leaseUntil);
         WorldRun run { order.run, now, {}, lengthOf(order.task), target.leaseEnds, ++m_serial };
+        if (!order.checkpoint.empty()) {
+            run.restoredWork = std::chrono::milliseconds(std::stoll(order.checkpoint));
+            run.length += restoreTime - run.restoredWork;
+            ++restores;
+        }
         target.runs.emplace(order.task, run);
         starts.push_back({ order.task, order.run, target.entry.id, now });
         const TargetId id = target.entry.id;
@@ -615,7 +636,7 @@
             schedule(1ms, [this, id, key, run, token, expectedGeneration = ownerGeneration] {
                 WorldTarget& receiver = targets.at(id);
                 OrderAnswer reply { OrderResult::Lost, {} };
-                if (receiver.alive && receiver.reachable) {
+                if (receiver.alive && receiver.reachable && (!obeysStop || obeysStop(id, key))) {
                     reply = { token < receiver.token ? OrderResult::Fenced : OrderResult::Done, clockOf(receiver) };
                     if (reply.result == OrderResult::Done) {
                         receiver.stopped.emplace(key, run);
@@ -738,7 +759,8 @@
         report.bornAt = target.entry.bornAt;
         for (const auto& [key, run] : target.runs) {
             const double share = run.length > Duration(0)
-                ? std::chrono::duration<double>(now - run.startedAt) / std::chrono::duration<double>(run.length)
+                ? std::chrono::duration<double>(now - run.startedAt + run.restoredWork)
+                    / std::chrono::duration<double>(run.length + run.restoredWork)
                 : 1;
             const int percent = target.standsStill ? 0 : static_cast<int>(100 * std::min(1.0, share));
             report.running.push_back({ key, run.run, {}, percent, gaugeOf(key) });
