Change: displace runs by their progress, and not while records can't be saved

Cause: runs that exceed their estimate counted as about to end, so they were never displaced; estimates are off by a factor of two and more. While records can't be saved, runs were displaced for tasks that could not be started.

Change: the remaining time follows from the reported progress as well. Targets that may have restarted are left out.

--- a/src/cell_owner_displacement.cpp
+++ b/src/cell_owner_displacement.cpp
@@ -1,6 +1,7 @@
 #include "cell_owner.h"
 
 #include "displacement.h"
+#include "fnv_hash_func.h"
 #include "log_line.h"
 
 #include <algorithm>
@@ -26,8 +27,8 @@
     /** Returns how long a run will take from now on. */
     Duration remainingTime(const Occupant& occupant, Time now)
     {
-        return remainingRunTime(
-            occupant.estimate, occupant.percent, now - std::max(occupant.progressAt, occupant.since));
+        const Time progressAt = std::max(occupant.progressAt, occupant.since);
+        return remainingRunTime(occupant.estimate, occupant.percent, progressAt - occupant.since, now - progressAt);
     }
 
     /**
@@ -65,14 +66,17 @@
 
 } // namespace
 
-/** Returns whether a step without room may have runs of less urgent queues stopped. */
+/**
+ * Returns whether a step without room may have runs of less urgent queues stopped. While records can't be saved, its
+ * tasks could not be started.
+ */
 bool CellOwner::mayDisplace(const ReadyStep& ready, Time now) const
 {
     const CellJob& job = *ready.job;
     const StepSpec& spec = job.spec.steps[ready.step];
     const OccurrenceState& occurrence = job.occurrences.at(ready.occurrence);
     const StepState& state = occurrence.steps[ready.step];
-    if (ready.valueLost || now < state.displacementNotBefore)
+    if (m_storeStalled || ready.valueLost || now < state.displacementNotBefore)
         return false;
     Time waitingSince = now;
     for (const TaskState& task : state.tasks)
@@ -133,7 +137,10 @@
     return run;
 }
 
-/** Returns the targets on which a step may displace runs: those that it may be started on. */
+/**
+ * Returns the targets on which a step may displace runs: those that it may be started on. Without an advisor these are
+ * many, and each look at the step takes a further part of them.
+ */
 std::vector<CellTarget*> CellOwner::displacementTargets(const ReadyStep& ready, Time now)
 {
     const CellJob& job = *ready.job;
@@ -142,7 +149,8 @@
     std::vector<CellTarget*> targets;
     const auto consider = [&](CellTarget* target) {
         if (target && target->entry.service == serviceOf(job) && !target->reservedFor && target->usable(now)
-            && dataCentreReachable(*target) && mayEverRun(*target, job.spec.steps[ready.step]))
+            && !target->mayHaveRestarted() && dataCentreReachable(*target)
+            && mayEverRun(*target, job.spec.steps[ready.step]))
             targets.push_back(target);
     };
     if (queue && queue->advisor) {
@@ -151,8 +159,11 @@
                 consider(findTarget(id));
         }
     } else {
-        for (CellTarget* target : usableTargets(serviceOf(job), now))
-            consider(target);
+        const std::vector<CellTarget*>& usable = usableTargets(serviceOf(job), now);
+        const auto looks = static_cast<std::uint64_t>(now.time_since_epoch() / displacementPause);
+        const std::size_t first = usable.empty() ? 0 : (fnvHash(stepText(ready.stepKey())) + looks) % usable.size();
+        for (std::size_t i = 0; i < usable.size() && targets.size() < maxAdvisedTargets; ++i)
+            consider(usable[(first + i) % usable.size()]);
     }
     // The order of a hash map would make decisions differ between equal runs.
     std::sort(targets.begin(), targets.end(), [](const auto* a, const auto* b) { return a->serial < b->serial; });
@@ -239,7 +250,7 @@
             ++stopped;
         }
     }
-    if (stopped > 0)
+    if (!choices.empty())
         LogLine(LogLevel::Info, "runs_displaced")
             .with("step", stepText(stepKey))
             .with("queue", ready.job->spec.queue)
--- a/src/displacement.cpp
+++ b/src/displacement.cpp
@@ -91,11 +91,20 @@
     return urgency.always || urgency.slack <= urgency.stopTime + overhead;
 }
 
-/** Returns how long a run will take from now on, by its estimate and its last reported progress. */
-Duration remainingRunTime(Duration estimate, int percent, Duration sinceProgress)
+/**
+ * Returns how long a run will take from now on.
+ * @param estimate Run time as estimated by the caller; may be too low by a factor of two and more.
+ * @param percent Last reported progress. That of a restored run includes the work of earlier runs.
+ * @param untilProgress Time from the start of the run to that report.
+ * @param sinceProgress Time since that report.
+ */
+Duration remainingRunTime(Duration estimate, int percent, Duration untilProgress, Duration sinceProgress)
 {
     constexpr int whole = 100;
-    return std::max(Duration(0), estimate * (whole - std::clamp(percent, 0, whole)) / whole - sinceProgress);
+    constexpr int minPercent = 10; ///< With less progress its rate is not known well.
+    const int done = std::clamp(percent, 0, whole);
+    const Duration total = done < minPercent ? estimate : std::max(estimate, untilProgress * whole / done);
+    return std::max(Duration(0), total * (whole - done) / whole - sinceProgress);
 }
 
 /**
--- a/src/displacement.h
+++ b/src/displacement.h
@@ -50,7 +50,7 @@
 };
 
 bool isDisplacementDue(const DisplacementUrgency& urgency);
-Duration remainingRunTime(Duration estimate, int percent, Duration sinceProgress);
+Duration remainingRunTime(Duration estimate, int percent, Duration untilProgress, Duration sinceProgress);
 std::vector<DisplacementChoice> chooseDisplacements(
     std::vector<DisplacementSite> sites, const DisplacementDemand& demand);
 
--- a/tests/test_displacement.cpp
+++ b/tests/test_displacement.cpp
@@ -125,10 +125,12 @@
 
 TEST_CASE("the remaining time of a run follows from its reported progress and the time since")
 {
-    CHECK(remainingRunTime(4s, 0, 0s) == 4s);
-    CHECK(remainingRunTime(4s, 50, 500ms) == 1500ms);
-    CHECK(remainingRunTime(4s, 90, 1s) == 0s);
-    CHECK(remainingRunTime(4s, 130, 0s) == 0s);
+    CHECK(remainingRunTime(4s, 0, 0s, 0s) == 4s);
+    CHECK(remainingRunTime(4s, 50, 2s, 500ms) == 1500ms);
+    CHECK(remainingRunTime(4s, 90, 3600ms, 1s) == 0s);
+    CHECK(remainingRunTime(4s, 130, 4s, 0s) == 0s);
+    CHECK(remainingRunTime(4s, 50, 4s, 500ms) == 3500ms); // Half as fast as estimated.
+    CHECK(remainingRunTime(4s, 50, 500ms, 0s) == 2s); // Restored from a checkpoint.
 }
 
 namespace {
@@ -353,3 +355,59 @@
     finishAll();
     CHECK(violations == std::vector<std::string> {});
 }
+
+// Room that was made for one step went to another one whose objective ended earlier.
+TEST_CASE_FIXTURE(DisplacementTest, "room of displaced runs is given to no other step of the same priority")
+{
+    advisorAllows = [](const TargetId& id, const StepKey& step) {
+        return step.job.value.starts_with("l") || id == TargetId("t1");
+    };
+    fillCell();
+    StepSpec spec = step(6, quickCores);
+    spec.estimate = 800ms;
+    submitTo("first", QueueId("quick"), { spec });
+    while (displacedRuns() < 3)
+        runAndRecord(20ms);
+    spec.estimate = 400ms;
+    submitTo("second", QueueId("quick"), { spec });
+    runAndRecord(stopsTake + 200ms);
+    CHECK(startsOf("first") == 6);
+    CHECK(startsOf("second") == 0);
+}
+
+// Runs were stopped again and again for a task whose start could not be recorded.
+TEST_CASE_FIXTURE(DisplacementTest, "nothing is displaced while records can't be saved")
+{
+    config.queues[0].advisor->ticketValidity = 60s;
+    owner->setConfig(config);
+    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+    fillCell();
+    obeysStop = [](const TargetId&, const CellTaskKey&) { return false; };
+    StepSpec patient = step(10, quickCores);
+    patient.estimate = 20s; // Its objective lies after all that follows.
+    submitTo("patient", QueueId("quick"), { patient });
+    runAndRecord(1s);
+    REQUIRE(displacedRuns() > 0);
+    storeUp = false;
+    submitLong(); // Its record is the write that fails.
+    runAndRecord(1500ms);
+    const std::uint64_t before = displacedRuns();
+    runAndRecord(3s);
+    CHECK(displacedRuns() == before);
+    storeUp = true;
+    runAndRecord(2s);
+    CHECK(displacedRuns() > before);
+    CHECK(violations == std::vector<std::string> {});
+}
+
+TEST_CASE_FIXTURE(DisplacementTest, "steps of a queue without an advisor displace runs too")
+{
+    config.queues[0].advisor.reset();
+    owner->setConfig(config);
+    fillCell();
+    offerQuick("burst", 24, 166ms);
+    runAndRecord(3s);
+    CHECK(shareWithin("burst", 1450ms) >= 0.9); // 1.5 times the run time, and 250 ms.
+    CHECK(displacedRuns() > 0);
+    CHECK(violations == std::vector<std::string> {});
+}
