--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -206,6 +206,7 @@
     }
     const auto speeds = options.empty() ? std::nullopt : speedPreference(job, spec, now);
     bool hasUnplaced = false;
+    bool lacksRoom = false;
     for (std::uint32_t i = 0; i < spec.tasks; ++i) {
         TaskState& task = state.tasks[i];
         if (!task.waiting())
@@ -222,6 +223,7 @@
         PlacementOption* option = chooseOption(options, { &spec, &task.avoid, {}, speeds ? &*speeds : nullptr });
         if (!option) {
             hasUnplaced = true;
+            lacksRoom = true;
             break;
         }
         option->room -= spec.reserved();
@@ -232,6 +234,8 @@
     }
     if (hasUnplaced)
         requestAdvice(ready, now);
+    if (lacksRoom)
+        displaceFor(ready, now);
 }
 
 /** Places a whole gang, or places a member again whose start was refused while the others wait for it. */
@@ -324,6 +328,7 @@
     occupant.account = job.spec.account;
     occupant.bornAt = task.recordedBornAt;
     target.occupy(key, occupant);
+    useDisplacementClaim(target, key.stepKey(), occupant.taken);
     m_taskWaitSeconds.record(now - task.waitingSince);
     LogLine(LogLevel::Info, "task_placed")
         .with("task", taskText(key))
--- a/src/cell_owner_order.cpp
+++ b/src/cell_owner_order.cpp
@@ -105,8 +105,8 @@
                     return a.first != b.first ? a.first < b.first : a.second->serial < b.second->serial;
                 });
             for (std::size_t i = 0; i < count; ++i)
-                m_restartClaims[best[i].second->id()].push_back(
-                    { step.stepKey(), restartPriority, step.rank, spec.reserved() });
+                m_restartClaims[best[i].second->id()].push_back({ step.stepKey(), restartPriority, step.rank,
+                    spec.reserved(), step.job->spec.account, spec.demand, 0, {} });
         }
     }
 }
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -541,6 +541,7 @@
             target.slowness += weight * (std::clamp(ratio, minRunTimeRatio, maxRunTimeRatio) - target.slowness);
         }
         learnRunTime(target, end, it->second, now);
+        countDisplacementLoss(it->second, end, now);
         target.release(end.task);
     }
     m_dispatchDue = true;
