--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -16,6 +16,20 @@
     constexpr std::size_t maxRemovalsPerBatch = 8;
     /** Store outages last seconds, so an earlier retry would usually fail again. */
     constexpr std::chrono::milliseconds stalledStoreRetry { 1000 };
+    /** Returns a text as a JSON string; control characters, which no name needs, are left out. */
+    std::string quoted(const std::string& text)
+    {
+        std::string result = "\"";
+        for (const char character : text) {
+            if (static_cast<unsigned char>(character) < ' ')
+                continue;
+            if (character == '"' || character == '\\')
+                result += '\\';
+            result += character;
+        }
+        return result + '"';
+    }
+
     constexpr std::chrono::seconds unplaceableJobRetry { 30 }; ///< Larger targets are added within minutes, if at all.
 
 } // namespace
@@ -688,6 +702,17 @@
         if (reachability.suspect())
             out << std::exchange(separator, ",") << '"' << dataCentre << '"';
     }
+    out << "],\"accounts\":[";
+    separator = "";
+    for (const AccountId& account : m_accountUsage.accounts()) {
+        const Resources used = m_accountUsage.used(account);
+        const Resources maximum = m_accountUsage.maximum(account);
+        out << std::exchange(separator, ",") << "{\"id\":" << quoted(account.value)
+            << ",\"used_cores_milli\":" << used.coresMilli << ",\"maximum_cores_milli\":" << maximum.coresMilli
+            << ",\"used_memory_mb\":" << used.memoryMb << ",\"maximum_memory_mb\":" << maximum.memoryMb
+            << ",\"used_accelerators\":" << used.accelerators << ",\"maximum_accelerators\":" << maximum.accelerators
+            << '}';
+    }
     out << "],\"targets\":[";
     separator = "";
     for (const auto& [id, target] : m_targets) {
--- a/src/cell_owner_accounts.cpp
+++ b/src/cell_owner_accounts.cpp
@@ -66,7 +66,7 @@
             .with("maximum_memory_mb", account.maximum.memoryMb);
         withdrawUnsentRuns(account.id);
     }
-    m_dispatchDue = true;
+    m_dispatchDue |= !accounts.empty();
 }
 
 /** Withdraws placements of an account above its maximum of which no order was sent yet, as far as needed to fit. */
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -654,8 +654,10 @@
     Occupant occupant;
     occupant.run = row.run;
     occupant.phase = RunPhase::Running;
-    if (const CellJob* job = findJob(row.task.job))
+    if (CellJob* job = findJob(row.task.job); job && !job->spec.account.empty()) {
         occupant.account = job->spec.account;
+        markDirty(*job, now, lazySaveDelay); // The record then names the run, for the next owner.
+    }
     if (const StepSpec* spec = findStepSpec(row.task)) {
         occupant.taken = spec->reserved();
         occupant.demand = spec->demand;
--- a/tests/test_entry_node.cpp
+++ b/tests/test_entry_node.cpp
@@ -383,6 +383,7 @@
         ClientAccount second;
         second.id = AccountId("b");
         second.keys = { "key-b" };
+        second.maximum = { 1000, 0, 0 };
         cell.accounts = { first, second };
         return cell;
     }
@@ -418,7 +419,7 @@
         if (!key.empty())
             request.headers["Authorization"] = "Bearer " + key;
         if (method == "POST")
-            request.body = R"({"stages":[{"task_count":1,"cpu":1000,"mem_mb":1000,"est_ms":500}]})";
+            request.body = R"({"steps":[{"task_count":1,"cpu":2000,"mem_mb":1000}]})";
         request.receivedAt = now;
         return request;
     }
@@ -505,6 +506,16 @@
     CHECK(serve(call("GET", "/q/" + id, "key-b")) == 403);
 }
 
+// Guards against a caller that repeats for ever what can never run, as it is not told the reason.
+TEST_CASE_FIXTURE(AccountTest, "a job beyond the maximum of its account is refused with the reason")
+{
+    CHECK(serve(call("POST", "/q/abcdef0123456789", "key-b")) == 503);
+    CHECK(lastAnswer == R"({"error":"not taken, nothing was run: a task exceeds the maximum of the account"})");
+    CHECK(serve(call("POST", "/q/abcdef0123456789", "key-a")) == 200);
+    CHECK(serve(call("POST", "/q/abcdef0123456789", "key-b")) == 403); // The id is taken.
+    CHECK(node.statusText(now).find(R"({"id":"a","used_cores_milli":2000)") != std::string::npos);
+}
+
 // Guards against keys that stay in force after a newer configuration, or come back with an older one.
 TEST_CASE_FIXTURE(AccountTest, "keys change with the configuration and never go back")
 {
