Change: a step of an account with little room left asks the advisor for all its waiting tasks

Questions were limited to the tasks that may start at the moment. Half a second of a long queue's call is its fixed part, so an account near its maximum would have asked once for each run that ends. A step whose account has no room for one task, or for the whole gang, still asks nothing.

--- a/src/account_usage.cpp
+++ b/src/account_usage.cpp
@@ -104,20 +104,6 @@
     return account.empty() || demand.withinLimit(maximum(account));
 }
 
-/** Returns how many of several tasks of the same demand may start together. */
-std::uint32_t AccountUsage::tasksThatMayStart(
-    const AccountId& account, const Resources& demand, std::uint32_t wanted) const
-{
-    if (mayStart(account, demand * wanted))
-        return wanted;
-    std::uint32_t possible = 0;
-    for (std::uint32_t impossible = wanted; impossible - possible > 1;) {
-        const std::uint32_t middle = possible + (impossible - possible) / 2;
-        (mayStart(account, demand * middle) ? possible : impossible) = middle;
-    }
-    return possible;
-}
-
 /** Returns the runs of a job that count towards its account. */
 std::vector<std::pair<CellTaskKey, TargetId>> AccountUsage::runsOf(const JobId& job) const
 {
--- a/src/account_usage.h
+++ b/src/account_usage.h
@@ -38,7 +38,6 @@
     Resources used(const AccountId& account) const;
     bool mayStart(const AccountId& account, const Resources& demand) const;
     bool fitsAlone(const AccountId& account, const Resources& demand) const;
-    std::uint32_t tasksThatMayStart(const AccountId& account, const Resources& demand, std::uint32_t wanted) const;
     std::vector<std::pair<CellTaskKey, TargetId>> runsOf(const JobId& job) const;
     std::vector<AccountId> accounts() const;
 
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -68,9 +68,10 @@
         maxAdvisedTargets, spec.gang };
     demand.tasks = static_cast<std::uint32_t>(
         std::count_if(state.tasks.begin(), state.tasks.end(), [](const TaskState& task) { return task.waiting(); }));
-    const std::uint32_t allowed = m_accountUsage.tasksThatMayStart(job.spec.account, spec.demand, demand.tasks);
-    demand.tasks = spec.gang && allowed < demand.tasks ? 0 : allowed;
-    if (demand.tasks == 0)
+    // Asks for all waiting tasks if one may start: most of a call's time is its fixed part, and runs that end meanwhile
+    // make room for the others.
+    const Resources least = spec.demand * (spec.gang ? demand.tasks : 1);
+    if (demand.tasks == 0 || !m_accountUsage.mayStart(job.spec.account, least))
         return;
     const StepAdvice& advice = state.advice;
     const auto sameStep = state.tasksByTarget();
