Add: jobs that a full service can't serve in time are refused at once

Cause: in a full cell, jobs beyond the rate of an account were accepted and completed too late to have any value, and their callers learned it last.

Change, with client accounts only: checkBacklog() compares the work that goes before a new job with what the service frees, and with the wait for the advisor. A job beyond its account's rate is refused if it could not complete within its objective, one within the rate if it could not complete within three times the objective, to come back in 1 to 5 s. While a tenth of the cores is free in places that are large enough, nothing is refused.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -40,6 +40,8 @@
           "sp_cell_jobs_beyond_rate_total", "Jobs accepted beyond the usual rate of their client account."))
     , m_restarts(metrics.counter(
           "sp_cell_lasting_restarts_total", "Lasting tasks that were placed again after the end of a run."))
+    , m_jobsRefusedFull(metrics.counter("sp_cell_jobs_refused_full_total",
+          "Jobs refused since they would find room in a full service too late to be of value."))
     , m_accountsAboveShare(metrics.gauge(
           "sp_cell_accounts_above_share", "Client accounts that run more than their share of a full service."))
     , m_startOrders(metrics.counter("sp_cell_starts_total", "Start orders sent."))
@@ -96,8 +98,7 @@
     m_admission = {};
     m_accountRates = {};
     m_accountRates.setAccounts(m_config.accounts);
-    m_aboveShare.clear();
-    m_sharesUpdatedAt = {};
+    m_load = {};
     m_accountsAboveShare.set(0);
     m_lossRate = 0;
     m_wakeAt.reset();
@@ -266,6 +267,20 @@
     job.submittedAt = now;
     job.acceptedAt = m_hooks.calendar();
     job.beyondRate = !m_accountRates.takeToken(job.spec.account, now);
+    if (const BacklogVerdict verdict = checkBacklogFor(job, now); !verdict.accepted) {
+        m_jobsRefused.add();
+        m_jobsRefusedFull.add();
+        LogLine(LogLevel::Info, "job_refused")
+            .with("job", job.spec.id)
+            .with("reason", "the service is full")
+            .with("queue", job.spec.queue)
+            .with("account", job.spec.account)
+            .with("beyond_rate", job.beyondRate)
+            .with("expected_wait_ms", verdict.wait.count())
+            .with("retry_after_ms", verdict.retryAfter.count());
+        reply({ JobAnswer::Kind::Refused, verdict.retryAfter, "the service is full" });
+        return;
+    }
     m_jobsBeyondRate.add(job.beyondRate ? 1 : 0);
     m_jobs.emplace(job.spec.id, std::move(owned));
     LogLine(LogLevel::Info, "job_taken")
@@ -276,6 +291,7 @@
         .with("beyond_rate", job.beyondRate)
         .with("config", m_config.version);
     activateJob(job, now);
+    countAccepted(job, now);
     m_pendingReplies[job.spec.id].push_back(std::move(reply));
     if (m_storeDelay >= slowStoreDelay) // Saves acceptance and first placement in one transaction.
         job.saveNotBefore = now + firstPlacementDelay;
@@ -284,14 +300,21 @@
     wakeBy(now);
 }
 
+/** Returns the time objective of a job, from its submission. @param path Length of its critical path. */
+std::chrono::milliseconds CellOwner::objectiveOf(const CellJob& job, std::chrono::milliseconds path) const
+{
+    const QueueConfig* queue = queueOf(job);
+    return std::chrono::milliseconds(
+               static_cast<std::int64_t>((queue ? queue->slackFactor : 1.0) * static_cast<double>(path.count())))
+        + (queue ? queue->targetLatency : std::chrono::milliseconds(0));
+}
+
 /** Adds a job to the open jobs, computes its time objective and begins its occurrences. */
 void CellOwner::activateJob(CellJob& job, Time now)
 {
     const QueueConfig* queue = queueOf(job);
-    const auto chain = longestChain(job.spec.steps, queue ? adviceTime(*queue) : std::chrono::milliseconds(0));
-    job.objective = std::chrono::milliseconds(static_cast<std::int64_t>(
-                        (queue ? queue->slackFactor : 1.0) * static_cast<double>(chain.count())))
-        + (queue ? queue->targetLatency : std::chrono::milliseconds(0));
+    job.objective
+        = objectiveOf(job, longestChain(job.spec.steps, queue ? adviceTime(*queue) : std::chrono::milliseconds(0)));
     m_open.push_back(&job);
     m_openJobs.set(static_cast<std::int64_t>(m_open.size()));
     if (!job.timed())
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -3,6 +3,7 @@
 
 #include "account_rate.h"
 #include "admission.h"
+#include "backlog_admission.h"
 #include "cell_job.h"
 #include "cell_target.h"
 #include "metrics.h"
@@ -192,6 +193,35 @@
         Resources room;
     };
 
+    /** Work that waits in a service in one band of one priority. */
+    struct Backlog {
+        double cores = 0; ///< Cores of the tasks of ready steps that wait for placement.
+        double coreSeconds = 0; ///< Work of these tasks and of the steps that are not ready yet.
+    };
+    struct BacklogKey {
+        int priority = 0;
+        WorkBand band = WorkBand::InTime;
+        bool worthless = false;
+        auto operator<=>(const BacklogKey&) const = default;
+    };
+
+    /** Load of a service with client accounts, as needed to admit jobs. */
+    struct ServiceLoad {
+        double workingCores = 0; ///< Cores of the runs that end by themselves.
+        double freedPerSecond = 0; ///< Cores that these runs are expected to free each second, by their estimates.
+        std::map<BacklogKey, Backlog> backlog;
+    };
+
+    /** What the owner knows of the load of a cell with client accounts. */
+    struct LoadEstimates {
+        Time sharesUpdatedAt {}; ///< Time of the last updateShares(), which determines the next two fields.
+        /** Accounts that run more than their share of a full service. */
+        std::set<std::pair<ServiceId, AccountId>> aboveShare;
+        std::map<ServiceId, ServiceLoad> services;
+        /** Time for which the last question of a queue waited for its turn, and when it was sent. */
+        std::map<QueueId, std::pair<Duration, Time>> adviceWaits;
+    };
+
     /** Contents of the transaction that a lane is writing. */
     struct RecordBatch {
         std::vector<CellJob*> jobs;
@@ -220,6 +250,7 @@
     const QueueConfig* queueOf(const CellJob& job) const;
     ServiceId serviceOf(const CellJob& job) const;
     int priorityOf(const CellJob& job) const;
+    std::chrono::milliseconds objectiveOf(const CellJob& job, std::chrono::milliseconds path) const;
     void activateJob(CellJob& job, Time now);
     void beginDueOccurrences(CellJob& job, Time now);
     void markReadySteps(CellJob& job, OccurrenceState& occurrence, Time now);
@@ -309,8 +340,12 @@
     std::vector<PlacementOption> placementOptions(const ReadyStep& ready, Time now);
     static Occupant makeOccupant(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now);
     void assignTask(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
+    WorkItem workItemOf(const CellJob& job, std::uint32_t occurrence, std::uint32_t step) const;
     std::optional<WorkRank> rankOf(const CellJob& job, std::uint32_t occurrence, std::uint32_t step, Time now) const;
     void updateShares(Time now);
+    void addToBacklog(const CellJob& job, std::uint32_t occurrence, Time now);
+    BacklogVerdict checkBacklogFor(const CellJob& job, Time now);
+    void countAccepted(const CellJob& job, Time now);
     static bool mustRestart(const StepSpec& spec, const TaskState& task);
     void claimRoomForRestarts(const std::vector<ReadyStep>& ready, Time now);
     void forecastRoom(std::vector<ReadyStep>& ready, Time now);
@@ -346,10 +381,7 @@
     std::map<JobId, std::vector<JobReply>> m_pendingReplies;
     Admission m_admission;
     AccountRates m_accountRates;
-    /** Accounts that run more than their share of a full service; updated by updateShares(). */
-    std::set<std::pair<ServiceId, AccountId>> m_aboveShare;
-    Time m_sharesUpdatedAt {};
-    std::map<ServiceId, double> m_coresFreedPerSecond; ///< Expected from the running tasks; updated with the shares.
+    LoadEstimates m_load; ///< Empty unless the cell has client accounts.
     Duration m_lag {}; ///< Time that an event waits for the event loop of this host.
     Duration m_storeDelay {}; ///< Recent duration of a store transaction.
     bool m_storeStalled = false; ///< The store does not answer, so records cannot be saved.
@@ -380,6 +412,7 @@
     Counter& m_jobsShed;
     Counter& m_jobsBeyondRate;
     Counter& m_restarts;
+    Counter& m_jobsRefusedFull;
     Gauge& m_accountsAboveShare;
     Counter& m_startOrders;
     Counter& m_startsUnanswered;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -143,6 +143,7 @@
     claimRoom(question, *state, job->spec.steps[question.step.step]);
     m_adviceQuestions.add();
     m_adviceWaitSeconds.record(now - question.askedAt);
+    m_load.adviceWaits[job->spec.queue] = { now - question.askedAt, now };
     LogLine(LogLevel::Info, "advice_asked")
         .with("step", stepText(question.step))
         .with("targets", question.targets.size())
--- a/src/cell_owner_order.cpp
+++ b/src/cell_owner_order.cpp
@@ -33,9 +33,17 @@
 std::optional<WorkRank> CellOwner::rankOf(
     const CellJob& job, std::uint32_t occurrence, std::uint32_t step, Time now) const
 {
-    const auto state = job.occurrences.find(occurrence);
-    if (m_config.accounts.empty() || state == job.occurrences.end())
+    if (m_config.accounts.empty())
         return std::nullopt;
+    return workRank(workItemOf(job, occurrence, step), now);
+}
+
+/** Collects what decides about the place of a step in the queue. @param occurrence Number of an open occurrence. */
+WorkItem CellOwner::workItemOf(const CellJob& job, std::uint32_t occurrence, std::uint32_t step) const
+{
+    const auto state = job.occurrences.find(occurrence);
+    if (state == job.occurrences.end())
+        return {};
     const QueueConfig* queue = queueOf(job);
     const RemainingWork remaining
         = remainingWork(job.spec.steps, state->second, queue ? adviceTime(*queue) : std::chrono::milliseconds(0));
@@ -53,8 +61,8 @@
     item.begun = job.begun;
     item.lasting = job.spec.steps[step].lasting;
     item.beyondRate = job.beyondRate;
-    item.aboveShare = m_aboveShare.contains({ serviceOf(job), job.spec.account });
-    return workRank(item, now);
+    item.aboveShare = m_load.aboveShare.contains({ serviceOf(job), job.spec.account });
+    return item;
 }
 
 /**
@@ -129,7 +137,8 @@
             std::int64_t freeMilli = 0;
             for (const CellTarget* target : usableTargets(queue->service, now))
                 freeMilli += std::max<std::int64_t>(0, target->room().coresMilli);
-            forecast->second = { static_cast<double>(freeMilli) / 1000, m_coresFreedPerSecond[queue->service] };
+            forecast->second
+                = { static_cast<double>(freeMilli) / 1000, m_load.services[queue->service].freedPerSecond };
         }
         const StepSpec& spec = step.job->spec.steps[step.step];
         const auto& tasks = step.job->step(step.stepKey())->tasks;
@@ -146,30 +155,37 @@
 {
     /** Shorter than any run, so that what starts in between does not change the shares much. */
     constexpr std::chrono::milliseconds updateInterval { 100 };
-    if (m_config.accounts.empty() || now - m_sharesUpdatedAt < updateInterval)
+    if (m_config.accounts.empty() || now - m_load.sharesUpdatedAt < updateInterval)
         return;
-    m_sharesUpdatedAt = now;
+    m_load.sharesUpdatedAt = now;
+    m_load.services.clear();
     std::map<ServiceId, std::map<AccountId, AccountLoad>> loads;
     for (const CellJob* job : m_open) {
         AccountLoad& load = loads[serviceOf(*job)][job->spec.account];
+        ServiceLoad& serviceLoad = m_load.services[serviceOf(*job)];
         for (const auto& [number, occurrence] : job->occurrences) {
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
                 if (occurrence.steps[s].readyAt == Time {})
                     continue;
                 const Resources demand = job->spec.steps[s].reserved();
+                const double cores = static_cast<double>(demand.coresMilli) / 1000;
                 const double seconds = std::chrono::duration<double>(job->spec.steps[s].estimate).count();
                 for (const TaskState& task : occurrence.steps[s].tasks) {
                     if (task.done)
                         continue;
                     (task.waiting() ? load.waiting : load.running) += demand;
-                    if (!task.waiting() && !job->spec.steps[s].lasting && seconds > 0)
-                        m_coresFreedPerSecond[serviceOf(*job)]
-                            += static_cast<double>(demand.coresMilli) / 1000 / seconds;
+                    if (!task.waiting() && !job->spec.steps[s].lasting && seconds > 0) {
+                        serviceLoad.workingCores += cores;
+                        serviceLoad.freedPerSecond += cores / seconds;
+                    }
                 }
             }
         }
     }
-    m_coresFreedPerSecond.clear();
+    for (const CellJob* job : m_open) {
+        for (const auto& [number, occurrence] : job->occurrences)
+            addToBacklog(*job, number, now);
+    }
     std::set<std::pair<ServiceId, AccountId>> above;
     for (auto& [service, accounts] : loads) {
         Resources capacity;
@@ -186,7 +202,7 @@
             const bool isAbove = aboveShare(load, capacity, level);
             if (isAbove)
                 above.emplace(service, id);
-            if (isAbove != m_aboveShare.contains({ service, id }))
+            if (isAbove != m_load.aboveShare.contains({ service, id }))
                 LogLine(LogLevel::Info, isAbove ? "account_above_share" : "account_within_share")
                     .with("account", id)
                     .with("service", service)
@@ -195,8 +211,76 @@
                     .with("share_percent", level ? static_cast<int>(100 * *level * load.weight) : 100);
         }
     }
-    m_aboveShare = std::move(above);
-    m_accountsAboveShare.set(static_cast<std::int64_t>(m_aboveShare.size()));
+    m_load.aboveShare = std::move(above);
+    m_accountsAboveShare.set(static_cast<std::int64_t>(m_load.aboveShare.size()));
+}
+
+/** Adds the waiting work of an occurrence to the backlog of its service. */
+void CellOwner::addToBacklog(const CellJob& job, std::uint32_t occurrence, Time now)
+{
+    const auto& steps = job.occurrences.at(occurrence).steps;
+    const auto isLasting = [](const StepSpec& spec) { return spec.lasting; };
+    if (std::any_of(job.spec.steps.begin(), job.spec.steps.end(), isLasting))
+        return; // Has no end by which others could expect its room.
+    const WorkItem item = workItemOf(job, occurrence, 0);
+    const WorkRank rank = workRank(item, now);
+    Backlog& backlog = m_load.services[serviceOf(job)].backlog[{ priorityOf(job), rank.band, rank.worthless }];
+    backlog.coreSeconds += static_cast<double>(item.remainingCoreMs) / 1000;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+        if (steps[s].readyAt == Time {} || steps[s].complete())
+            continue;
+        const auto waiting = std::count_if(
+            steps[s].tasks.begin(), steps[s].tasks.end(), [](const TaskState& task) { return task.waiting(); });
+        backlog.cores += static_cast<double>(waiting * job.spec.steps[s].reserved().coresMilli) / 1000;
+    }
+}
+
+/** Adds a job that was just accepted to the backlog, which is otherwise updated at intervals. */
+void CellOwner::countAccepted(const CellJob& job, Time now)
+{
+    if (m_config.accounts.empty())
+        return;
+    for (const auto& [number, occurrence] : job.occurrences)
+        addToBacklog(job, number, now);
+}
+
+/** Checks whether a job that is submitted could complete in time, given what waits before it. */
+BacklogVerdict CellOwner::checkBacklogFor(const CellJob& job, Time now)
+{
+    /** The wait of a question says little about the present after this time. */
+    constexpr std::chrono::seconds adviceWaitValidity { 3 };
+    const QueueConfig* queue = queueOf(job);
+    const auto isLasting = [](const StepSpec& spec) { return spec.lasting; };
+    if (m_config.accounts.empty() || !queue || job.timed()
+        || std::any_of(job.spec.steps.begin(), job.spec.steps.end(), isLasting))
+        return {};
+    const ServiceLoad& load = m_load.services[queue->service];
+    BacklogState state;
+    state.workingCores = load.workingCores;
+    state.freedPerSecond = load.freedPerSecond;
+    for (CellTarget* target : usableTargets(queue->service, now)) {
+        state.capacityCores += static_cast<double>(target->entry.capacity.coresMilli) / 1000;
+        double places = 0;
+        for (const StepSpec& spec : job.spec.steps) {
+            if (mayEverRun(*target, spec))
+                places = std::max(places,
+                    static_cast<double>(tasksThatFit({ target, target->room(), 0 }, spec))
+                        * static_cast<double>(spec.demand.coresMilli) / 1000);
+        }
+        state.freeCores += places;
+    }
+    for (const auto& [key, backlog] : load.backlog) {
+        const bool first = key.priority < queue->priority
+            || (key.priority == queue->priority
+                && (job.beyondRate ? !key.worthless : key.band <= WorkBand::InTimeAboveShare));
+        state.coresAhead += first ? backlog.cores : 0;
+        state.coreSecondsAhead += first ? backlog.coreSeconds : 0;
+    }
+    if (const auto wait = m_load.adviceWaits.find(queue->id);
+        wait != m_load.adviceWaits.end() && now - wait->second.second <= adviceWaitValidity)
+        state.adviceWait = std::chrono::duration_cast<std::chrono::milliseconds>(wait->second.first);
+    const auto path = longestChain(job.spec.steps, adviceTime(*queue));
+    return checkBacklog(state, { path, objectiveOf(job, path), queue->slackFactor, job.beyondRate });
 }
 
 } // namespace sp
--- a/tests/test_cell_accounts_load.cpp
+++ b/tests/test_cell_accounts_load.cpp
@@ -118,5 +118,30 @@
         CHECK(shareWithin("q" + std::string(id), quickObjective) >= 0.9);
         CHECK(shareWithin("l" + std::string(id), longObjective) >= 0.9);
     }
+    // What the account submits beyond its rate is refused at once while the cell is full, and nothing else is.
+    int refused = 0;
+    for (const auto& [id, answer] : answers) {
+        if (answer != JobAnswer::Kind::Refused)
+            continue;
+        CHECK(id.value[1] == 'a');
+        CHECK(answeredAfter.at(id.value) <= 20ms);
+        CHECK(startsOf(id.value) == 0);
+        ++refused;
+    }
+    CHECK(refused >= 5);
+    CHECK(violations == std::vector<std::string> {});
+}
+
+TEST_CASE_FIXTURE(AccountsTest, "an account may submit any number of jobs beyond its rate while targets are free")
+{
+    account = AccountId("a");
+    for (int i = 0; i < 200; ++i) { // Ten times the rate of the account, with a third of the cores.
+        submitQuick("q" + std::to_string(i));
+        runAndRecord(50ms);
+    }
+    runAndRecord(3s);
+    CHECK(std::none_of(
+        answers.begin(), answers.end(), [](const auto& answer) { return answer.second == JobAnswer::Kind::Refused; }));
+    CHECK(shareWithin("q", quickObjective) >= 0.95);
     CHECK(violations == std::vector<std::string> {});
 }
