Add: a profile of interference between images, which placement keeps apart

Placement saw declared demand only, so tasks of an image went beside those of another image that slow them down.

InterferenceProfile compares runs of an image beside another one with its runs without it at about the same load, relative to the run time that the run-time profile expects. Placement and the choice of targets of a question prefer targets without a conflict; where there is no room, tasks are placed as before.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -48,6 +48,7 @@
     , m_slowPlacements(metrics.counter("sp_cell_slow_placements_total",
           "Tasks placed on targets that are too slow for their queue, as no other allowed one had room."))
     , m_openJobs(metrics.gauge("sp_cell_open_jobs", "Jobs that have not ended."))
+    , m_interferingPairs(metrics.gauge("sp_cell_interfering_pairs", "Pairs of images that placement keeps apart."))
     , m_unattendedTasks(
           metrics.gauge("sp_cell_unattended_tasks", "Open tasks that no run, queue or question moves on."))
     , m_taskWaitSeconds(metrics.histogram("sp_cell_task_wait_seconds", "Time from readiness of a task to its order."))
@@ -87,6 +88,7 @@
     m_reservations.clear();
     m_usableTargets.clear();
     m_runTimes = {};
+    m_interference = {};
     m_reachability.clear();
     m_adviceClaims.clear();
     m_admission = {};
@@ -548,6 +550,8 @@
         return;
     m_lastExpiryAt = now;
     m_unattendedTasks.set(static_cast<std::int64_t>(unattendedTasks(now)));
+    m_interference.forgetUnseen(now);
+    m_interferingPairs.set(static_cast<std::int64_t>(m_interference.pairCount()));
     const auto kept = m_bounds.statusKept + m_bounds.statusKept / 4;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
         const CellJob& job = *it->second;
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -296,6 +296,7 @@
     std::vector<ReadyStep> readySteps(Time now);
     void placeStep(const ReadyStep& ready, Time now);
     std::optional<SpeedPreference> speedPreference(const CellJob& job, const StepSpec& spec, Time now);
+    ImageSet conflictsOf(const CellJob& job, const StepSpec& spec, Time now);
     void learnRunTime(CellTarget& target, const EndRow& end, const Occupant& occupant, Time now);
     std::vector<PlacementOption> placementOptions(const ReadyStep& ready, Time now);
     static Occupant makeOccupant(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now);
@@ -342,6 +343,7 @@
     std::map<QueueId, double> m_allowedShare;
     std::map<TargetId, std::vector<AdviceClaim>> m_adviceClaims; ///< Claims of questions that are not answered yet.
     RunTimeProfile m_runTimes;
+    InterferenceProfile m_interference;
     std::map<DataCentreId, DataCentreReachability> m_reachability;
     bool m_dataCentreSuspect = false; ///< Some data centre does not answer; determined in each sweep.
     double m_lossRate = 0; ///< Moving average of the share of calls to targets that get no answer.
@@ -364,6 +366,7 @@
     Counter& m_tasksGivenUp;
     Counter& m_slowPlacements;
     Gauge& m_openJobs;
+    Gauge& m_interferingPairs;
     Gauge& m_unattendedTasks;
     Histogram& m_taskWaitSeconds;
     Histogram& m_adviceWaitSeconds;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -16,6 +16,8 @@
     constexpr int maxIdlePauseDoublings = 3; ///< Limits the cost of many steps that wait for room in a large cell.
     /** Initial share of allowed targets, until a queue's advisor has answered. */
     constexpr double initialAllowedShare = 0.5;
+    /** Factor on the room of a target that runs an image in conflict with the step. */
+    constexpr double conflictWeight = 0.5;
 
     /** Returns a hash of a number, by the finalizer of SplitMix64. */
     std::uint64_t mixed(std::uint64_t number)
@@ -75,6 +77,7 @@
     const std::uint64_t seed = fnvHash(stepText(question.step));
     const std::vector<CellTarget*>& targets = usableTargets(queue->service, now);
     const std::optional<SpeedPreference> speeds = speedPreference(job, spec, now);
+    const ImageSet conflicts = conflictsOf(job, spec, now);
     std::vector<AdviceCandidate> candidates;
     candidates.reserve(targets.size());
     for (std::uint32_t i = 0; i < targets.size(); ++i) {
@@ -98,6 +101,8 @@
             const auto same = sameStep.find(target);
             candidate.fits = tasksThatFit({ target, room, same == sameStep.end() ? 0 : same->second }, spec);
         }
+        if (target->runsAnyOf(conflicts))
+            candidate.weight *= conflictWeight;
         candidate.rank = mixed(seed ^ target->serial);
         candidates.push_back(candidate);
     }
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -186,6 +186,14 @@
         m_runTimes.outlook(own->service, RunTimeProfile::groupOf(spec, own->id), speedsOfTargets, now), demand);
 }
 
+/** Returns the images that a step's tasks should not run beside. */
+ImageSet CellOwner::conflictsOf(const CellJob& job, const StepSpec& spec, Time now)
+{
+    if (m_interference.pairCount() == 0)
+        return {};
+    return m_interference.conflicts(m_interference.imageNumber(RunTimeProfile::groupOf(spec, job.spec.queue), now));
+}
+
 void CellOwner::placeStep(const ReadyStep& ready, Time now)
 {
     CellJob& job = *ready.job;
@@ -198,6 +206,7 @@
         return;
     }
     const auto speeds = options.empty() ? std::nullopt : speedPreference(job, spec, now);
+    const ImageSet conflicts = conflictsOf(job, spec, now);
     bool hasUnplaced = false;
     for (std::uint32_t i = 0; i < spec.tasks; ++i) {
         TaskState& task = state.tasks[i];
@@ -208,7 +217,8 @@
             hasUnplaced |= alone == AlonePlacement::Waiting;
             continue;
         }
-        PlacementOption* option = chooseOption(options, { &spec, &task.avoid, {}, speeds ? &*speeds : nullptr });
+        PlacementOption* option
+            = chooseOption(options, { &spec, &task.avoid, {}, speeds ? &*speeds : nullptr, conflicts });
         if (!option) {
             hasUnplaced = true;
             break;
@@ -239,7 +249,8 @@
     if (placed == 0) {
         std::vector<CellTarget*> chosen;
         const auto speeds = options.empty() ? std::nullopt : speedPreference(job, spec, now);
-        if (!placeGang(options, spec, chosen, speeds ? &*speeds : nullptr)) {
+        const ImageSet conflicts = conflictsOf(job, spec, now);
+        if (!placeGang(options, spec, chosen, { &spec, nullptr, {}, speeds ? &*speeds : nullptr, conflicts })) {
             requestAdvice(job, stepKey, now);
             return;
         }
@@ -306,6 +317,7 @@
     task.alone = false;
     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recording, now);
     occupant.bornAt = task.recordedBornAt;
+    occupant.image = m_interference.imageNumber(RunTimeProfile::groupOf(spec, job.spec.queue), now);
     target.occupy(key, occupant);
     m_taskWaitSeconds.record(now - task.waitingSince);
     LogLine(LogLevel::Info, "task_placed")
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -4,6 +4,7 @@
 #include "tail_guard.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sp {
 
@@ -530,6 +531,7 @@
             target.slowness += weight * (std::clamp(ratio, minRunTimeRatio, maxRunTimeRatio) - target.slowness);
         }
         learnRunTime(target, end, it->second, now);
+        target.endedRuns.add({ it->second.image, it->second.startedAt, now });
         target.release(end.task);
     }
     m_dispatchDue = true;
@@ -592,7 +594,22 @@
     if (spec.estimate.count() <= 0 || spec.fills || spec.lasting || spec.gang || recovered || resumed || remote)
         return;
     const double ratio = std::chrono::duration<double>(now - occupant.since) / spec.estimate;
-    m_runTimes.record(RunTimeProfile::groupOf(spec, job->spec.queue), target.speed, ratio, now);
+    ExposedRun run { occupant.image, {}, 0, 0, target.serial };
+    target.endedRuns.addExposure(run.beside, occupant.since, now);
+    for (const auto& [key, other] : target.occupants) {
+        if (key != end.task && other.phase != RunPhase::Recording)
+            addExposure(run.beside, { other.image, other.startedAt, now }, occupant.since, now);
+    }
+    // The effect of known neighbours says nothing of the target.
+    const double known = m_interference.knownEffect(run.image, run.beside);
+    const auto residual = m_runTimes.record(
+        RunTimeProfile::groupOf(spec, job->spec.queue), target.speed, ratio * std::exp(-known), now);
+    if (!residual)
+        return;
+    run.residual = *residual + known;
+    const auto capacity = std::max<std::int64_t>(1, target.entry.capacity.coresMilli);
+    run.load = static_cast<double>(target.used.coresMilli) / static_cast<double>(capacity);
+    m_interference.record(run, now);
 }
 
 /** Stops the present run of a task, or those of its whole gang, as an earlier run turns out to be done. */
--- a/src/cell_recovery.cpp
+++ b/src/cell_recovery.cpp
@@ -66,6 +66,7 @@
                     task.target = &target;
                     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recovered, now);
                     occupant.bornAt = task.recordedBornAt;
+                    occupant.image = m_interference.imageNumber(RunTimeProfile::groupOf(spec, job.spec.queue), now);
                     occupant.startedAt = now;
                     occupant.begun = task.begun;
                     occupant.alone = task.alone;
--- a/src/cell_target.cpp
+++ b/src/cell_target.cpp
@@ -15,6 +15,13 @@
 
 } // namespace
 
+/** Returns whether a run of one of these images is on the target. */
+bool CellTarget::runsAnyOf(const ImageSet& images) const
+{
+    return images.any()
+        && std::any_of(occupants.begin(), occupants.end(), [&](const auto& run) { return images[run.second.image]; });
+}
+
 /** Adds a run and reserves its capacity; replaces an earlier run of the same task. */
 void CellTarget::occupy(const CellTaskKey& key, const Occupant& occupant)
 {
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cell_type.h"
+#include "interference_profile.h"
 #include "run_time_profile.h"
 
 #include <algorithm>
@@ -33,6 +34,7 @@
     bool serves = false; ///< Serves requests with a target for the tail of its response times.
     bool lasting = false; ///< Runs until the job is cancelled.
     std::chrono::milliseconds estimate { 0 };
+    std::uint32_t image = 0; ///< Number of its image in the interference profile; 0 if it is not tracked.
     Time since {}; ///< Time at which the current phase began.
     Time confirmedAt {}; ///< Time at which the target last confirmed an order for this run; unset before.
     int tries = 0; ///< Number of orders of the current kind, start or stop, that were sent.
@@ -122,6 +124,7 @@
     Time refusedUntil {}; ///< Back-off after a rejected start: no task is placed on the target before this time.
     double slowness = 1; ///< Ratio of observed to estimated run time, relative to other targets.
     TargetSpeed speed; ///< What the run-time profile has learned of the target.
+    NeighbourHistory endedRuns; ///< Runs that were beside those that end next.
 
     const TargetId& id() const { return entry.id; }
     TargetRef ref() const { return { entry.id, entry.address }; }
@@ -140,6 +143,7 @@
     CalendarTime latestBornAt() const { return std::max(entry.bornAt, reportedBornAt); }
     /** Returns the capacity that is not reserved. */
     Resources room() const { return entry.capacity - used; }
+    bool runsAnyOf(const ImageSet& images) const;
     void occupy(const CellTaskKey& key, const Occupant& occupant);
     void release(const CellTaskKey& key);
     /** Returns whether the runs need more than the capacity, which has shrunk since they were placed. */
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -19,6 +19,9 @@
     constexpr double freeAcceleratorWeight = 2;
     constexpr double interferenceWeight = 0.5; ///< Filling tasks beside serving tasks have to be slowed down later.
 
+    /** Exceeds the weight of load, and is less than the cost of a target that is too slow for urgent work. */
+    constexpr double conflictWeight = 1.5;
+
     double fraction(std::int64_t part, std::int64_t whole)
     {
         return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
@@ -81,6 +84,8 @@
         cost += remoteRackWeight;
     if (requirements.avoid && requirements.avoid->contains(target.id()))
         cost += failedTargetWeight;
+    if (target.runsAnyOf(requirements.conflicts))
+        cost += conflictWeight;
     if (step.fills)
         cost += interferenceWeight * static_cast<double>(countIf(target, &Occupant::serves))
             + interferenceWeight * static_cast<double>(countIf(target, &Occupant::fills));
@@ -111,13 +116,13 @@
  * @param options Candidates; on success, their room is reduced by the placed tasks.
  * @param step Step that forms the gang.
  * @param chosen Receives the target of each task by index; incomplete on failure.
- * @param speeds Preferences among targets that differ in speed; may be null.
+ * @param preferences Speeds and conflicts to consider; the rest does not apply to gangs.
  * @return True if all tasks were placed.
  */
 bool placeGang(std::vector<PlacementOption>& options, const StepSpec& step, std::vector<CellTarget*>& chosen,
-    const SpeedPreference* speeds)
+    const PlacementRequirements& preferences)
 {
-    PlacementRequirements requirements { &step, nullptr, {}, speeds };
+    PlacementRequirements requirements { &step, nullptr, {}, preferences.speeds, preferences.conflicts };
     if (step.colocated) {
         std::map<RackId, std::uint32_t> roomByRack;
         for (const PlacementOption& option : options)
--- a/src/placement.h
+++ b/src/placement.h
@@ -22,6 +22,7 @@
     const std::set<TargetId>* avoid = nullptr;
     RackId gangRack; ///< Preferred rack of a colocated gang; empty for none.
     const SpeedPreference* speeds = nullptr; ///< Set if the targets are known to differ in speed.
+    ImageSet conflicts {}; ///< Images that slow the step's tasks down or are slowed down by them.
 };
 
 bool mayEverRun(const CellTarget& target, const StepSpec& step);
@@ -29,6 +30,6 @@
 double placementCost(const PlacementOption& option, const PlacementRequirements& requirements);
 PlacementOption* chooseOption(std::vector<PlacementOption>& options, const PlacementRequirements& requirements);
 bool placeGang(std::vector<PlacementOption>& options, const StepSpec& step, std::vector<CellTarget*>& chosen,
-    const SpeedPreference* speeds = nullptr);
+    const PlacementRequirements& preferences = {});
 
 } // namespace sp
--- a/tests/test_cell_speeds.cpp
+++ b/tests/test_cell_speeds.cpp
@@ -64,6 +64,8 @@
         submitJobs(50s - takeOverAfter);
         runAndRecord(15s);
         CHECK(violations == std::vector<std::string> {});
+        // Speeds and load are no interference between queues.
+        CHECK(metrics.gauge("sp_cell_interfering_pairs", {}).value() == 0);
         CHECK(std::count_if(answers.begin(), answers.end(), [](const auto& entry) {
             return entry.second != JobAnswer::Kind::Ok;
         }) == 0);
