Change: slow targets are avoided only where they use up half of the slack

A few very fast targets made all others count as too slow for urgent work, even if it was in time there. The run time relative to the estimate must now also leave less than half of the slack for waiting. The cost of a target that is not too slow grows with that run time, as the cost of CellTarget::slowness did.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -19,7 +19,7 @@
     constexpr double freeAcceleratorWeight = 2;
     constexpr double interferenceWeight = 0.5; ///< Filling tasks beside serving tasks have to be slowed down later.
 
-    /** Exceeds the weight of load, and is less than the cost of a target that is too slow for urgent work. */
+    /** Exceeds the weight of load, and is less than the cost of a target that is too slow. */
     constexpr double conflictWeight = 1.5;
 
     double fraction(std::int64_t part, std::int64_t whole)
--- a/src/run_time_profile.cpp
+++ b/src/run_time_profile.cpp
@@ -46,9 +46,11 @@
     constexpr double slowestQuantile = 0.9; ///< Single slow targets are the matter of CellTarget::slowness.
 
     // Costs of a placement, where 1 corresponds to a fully reserved target: a weight of 1 and more goes before load.
-    constexpr double tooSlowCost = 1; ///< Comes in addition to the cost of the longer run time.
-    constexpr double leaveFastCost = 2; ///< Exceeds the cost of the longer run time by the weight of load.
+    constexpr double tooSlowCost = 3; ///< Exceeds the cost of a fast target that is left to urgent work.
+    constexpr double leaveFastCost = 2; ///< Exceeds the cost of a longer run time by the weight of load.
     constexpr double maxRunTimeCost = 1; ///< Limits the cost of a longer run time for work that has the time.
+    /** Part of the logarithm of a slack factor that the run time may use up; the rest is for waiting and advice. */
+    constexpr double runTimeShareOfSlack = 0.5;
 
     // Factors on the room of a target when a question chooses its targets.
     constexpr double tooSlowWeight = 0.1; ///< A fast target with room for one task goes before any slow one.
@@ -84,10 +86,15 @@
     return target.samples > 0 ? kind + significant(target.deviation, noise / target.samples) : kind;
 }
 
-/** Returns the preferences of a step; nothing if the targets differ by no more than the urgent queues permit. */
+/**
+ * Returns the preferences of a step; nothing if the targets differ by no more than the urgent queues permit, or if even
+ * the slowest are fast enough for them.
+ */
 std::optional<SpeedPreference> SpeedPreference::make(const SpeedOutlook& outlook, const SpeedDemand& demand)
 {
-    if (outlook.slowest - outlook.fastest <= std::log(std::max(1.0, demand.urgentSlackFactor)))
+    const double urgentLimit = std::log(std::max(1.0, demand.urgentSlackFactor));
+    if (outlook.slowest - outlook.fastest <= urgentLimit
+        || outlook.level + outlook.slowest <= urgentLimit * runTimeShareOfSlack)
         return std::nullopt;
     return SpeedPreference(outlook, demand);
 }
@@ -96,14 +103,17 @@
     : m_outlook(&outlook)
     , m_limit(std::log(std::max(1.0, demand.slackFactor)))
     , m_urgentLimit(std::log(std::max(1.0, demand.urgentSlackFactor)))
-    // With few slow targets, less urgent work would crowd there, and urgent work has enough fast ones anyway.
-    , m_leavesFast(!demand.urgent && outlook.slowQuarter - outlook.fastest > m_urgentLimit)
 {
+    if (demand.urgent) {
+        m_limit = std::max(m_limit, m_limit * runTimeShareOfSlack - (outlook.level + outlook.fastest));
+        return;
+    }
+    // With few slow targets, less urgent work would crowd there, and urgent work has enough fast ones anyway.
+    m_leavesFast = outlook.slowQuarter - outlook.fastest > m_urgentLimit
+        && outlook.level + outlook.slowQuarter > m_urgentLimit * runTimeShareOfSlack;
     // Work that is not urgent is too slow where it misses its own objective, unless it does so everywhere.
-    if (demand.lasting && !demand.urgent)
-        m_limit = std::numeric_limits<double>::infinity();
-    else if (const double onFast = outlook.level + outlook.fastest; !demand.urgent)
-        m_limit = onFast < m_limit ? m_limit - onFast : std::numeric_limits<double>::infinity();
+    const double onFast = outlook.level + outlook.fastest;
+    m_limit = !demand.lasting && onFast < m_limit ? m_limit - onFast : std::numeric_limits<double>::infinity();
 }
 
 bool SpeedPreference::tooSlow(const TargetSpeed& target) const
@@ -114,11 +124,12 @@
 /** Returns the cost of the target's speed in a placement, in place of the cost of CellTarget::slowness. */
 double SpeedPreference::placementCost(const TargetSpeed& target) const
 {
-    const double relative = m_outlook->onTarget(target) - m_outlook->fastest;
-    const double runTimeCost = std::max(0.0, std::exp(relative) - 1);
+    const double onTarget = m_outlook->onTarget(target);
+    const double relative = onTarget - m_outlook->fastest;
+    const double runTimeCost = std::clamp(std::exp(m_outlook->level + onTarget) - 1, 0.0, maxRunTimeCost);
     if (relative > m_limit)
-        return runTimeCost + leaveFastCost + tooSlowCost;
-    return std::min(runTimeCost, maxRunTimeCost) + (leaves(relative) ? leaveFastCost : 0);
+        return runTimeCost + tooSlowCost;
+    return runTimeCost + (leaves(relative) ? leaveFastCost : 0);
 }
 
 /** Returns the factor on the room of a target when a question to the advisor chooses its targets. */
--- a/tests/test_run_time_profile.cpp
+++ b/tests/test_run_time_profile.cpp
@@ -161,6 +161,16 @@
     CHECK(other->placementCost(targets[1]) <= other->placementCost(targets[0]));
 }
 
+// Guards against urgent work that crowds on a few very fast targets although it is in time on all.
+TEST_CASE_FIXTURE(ProfileTest, "nothing changes while all targets are fast enough for urgent work")
+{
+    for (int i = 0; i < 100; ++i)
+        add(i % 5 == 0 ? 2.5 : 1.2, i % 5 == 0 ? "very fast" : "fast");
+    runJobs(300, targets.size());
+    CHECK_FALSE(preference());
+    CHECK_FALSE(preference(false, 2.2));
+}
+
 TEST_CASE_FIXTURE(ProfileTest, "what was learned follows changes and is forgotten after a time without runs")
 {
     addUnlike(60, false);
