--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -134,6 +134,35 @@
     return longest;
 }
 
+/**
+ * Computes what is left to do of an occurrence.
+ * @param perStep Overhead added for each step that has not begun, such as the time of a call to the advisor.
+ */
+RemainingWork remainingWork(
+    const std::vector<StepSpec>& steps, const OccurrenceState& occurrence, std::chrono::milliseconds perStep)
+{
+    RemainingWork remaining;
+    std::vector<std::chrono::milliseconds> ends(steps.size());
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        const StepState& state = occurrence.steps[i];
+        if (state.complete())
+            continue;
+        std::int64_t waiting = 0;
+        bool begun = false;
+        for (const TaskState& task : state.tasks) {
+            waiting += task.waiting() ? 1 : 0;
+            begun |= task.run > 0;
+        }
+        std::chrono::milliseconds begin { 0 };
+        for (const std::uint32_t dependency : steps[i].after)
+            begin = std::max(begin, ends[dependency]);
+        ends[i] = begin + steps[i].estimate + (begun ? std::chrono::milliseconds(0) : perStep);
+        remaining.path = std::max(remaining.path, ends[i]);
+        remaining.coreMs += waiting * steps[i].demand.coresMilli * steps[i].estimate.count() / 1000;
+    }
+    return remaining;
+}
+
 /** Checks a job for errors that prevent it from running on any target. Returns the first error, if there is one. */
 std::optional<std::string> jobSpecProblem(const CellJobSpec& spec)
 {
@@ -215,6 +244,7 @@
     proto::CellJobRecord record;
     record.set_job(job.spec.id.value);
     record.set_queue(job.spec.queue.value);
+    record.set_account(job.spec.account.value);
     record.set_state(static_cast<std::uint32_t>(job.state));
     record.set_begun(job.begun);
     // For a host of an earlier version that takes the cell over.
@@ -264,6 +294,8 @@
         return false;
     job.spec.id = JobId(record.job());
     job.spec.queue = QueueId(record.queue());
+    if (!record.account().empty()) // Records of an earlier version have none.
+        job.spec.account = AccountId(record.account());
     job.state = static_cast<JobState>(record.state());
     job.shownState = job.state;
     job.stored = true;
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -7,13 +7,6 @@
 
 namespace sp {
 
-namespace {
-
-    /** A job that ends later than this multiple of its objective earns nothing. */
-    constexpr double lateObjectiveFactor = 3;
-
-} // namespace
-
 /** Marks a task as done. May make later steps ready, end the occurrence and complete the job. */
 void CellOwner::completeTask(CellJob& job, const CellTaskKey& key, Time now)
 {
@@ -105,16 +98,16 @@
                 step.mayHaveWaitingTasks = std::any_of(
                     step.tasks.begin(), step.tasks.end(), [](const auto& task) { return task.waiting(); });
                 if (step.mayHaveWaitingTasks) {
-                    const bool late = now - job->submittedAt > job->objective * static_cast<int>(lateObjectiveFactor);
-                    ready.push_back(
-                        { job, number, s, priority, late && !job->spec.steps[s].lasting, job->objectiveAt() });
+                    const bool late = now - job->submittedAt > job->objective * lateObjectiveFactor;
+                    ready.push_back({ job, number, s, priority, late && !job->spec.steps[s].lasting, job->objectiveAt(),
+                        rankOf(*job, number, s, now) });
                 }
             }
         }
     }
     std::sort(ready.begin(), ready.end(), [](const ReadyStep& a, const ReadyStep& b) {
-        return std::tie(a.priority, a.valueLost, a.objectiveTime, a.job->spec.id, a.step)
-            < std::tie(b.priority, b.valueLost, b.objectiveTime, b.job->spec.id, b.step);
+        return std::tie(a.priority, a.rank, a.valueLost, a.objectiveTime, a.job->spec.id, a.step)
+            < std::tie(b.priority, b.rank, b.valueLost, b.objectiveTime, b.job->spec.id, b.step);
     });
     return ready;
 }
@@ -124,8 +117,11 @@
 {
     if (!m_mayOrder)
         return;
-    for (const ReadyStep& ready : readySteps(now))
-        placeStep(ready, now);
+    updateShares(now);
+    std::vector<ReadyStep> ready = readySteps(now);
+    forecastRoom(ready, now);
+    for (const ReadyStep& step : ready)
+        placeStep(step, now);
 }
 
 /** Returns the targets with free capacity for a step. An advisor limits them to targets with a valid ticket. */
@@ -143,7 +139,8 @@
             || !mayEverRun(target, step))
             return;
         const auto same = sameStep.find(&target);
-        const Resources room = target.room() - claimedRoom(target.id(), ready.stepKey(), ready.priority - 1);
+        const Resources room
+            = target.room() - claimedRoom(target.id(), ready.stepKey(), ready.priority, ready.rank, ClaimUse::Placing);
         const PlacementOption option { &target, room, same == sameStep.end() ? 0 : same->second };
         if (tasksThatFit(option, step) > 0)
             options.push_back(option);
@@ -230,7 +227,7 @@
         assignTask(job, ready.taskKey(i), *option->target, now);
     }
     if (hasUnplaced)
-        requestAdvice(job, stepKey, now);
+        requestAdvice(ready, now);
 }
 
 /** Places a whole gang, or places a member again whose start was refused while the others wait for it. */
@@ -251,7 +248,7 @@
         const auto speeds = options.empty() ? std::nullopt : speedPreference(job, spec, now);
         const ImageSet conflicts = conflictsOf(job, spec, now);
         if (!placeGang(options, spec, chosen, { &spec, nullptr, {}, speeds ? &*speeds : nullptr, conflicts })) {
-            requestAdvice(job, stepKey, now);
+            requestAdvice(ready, now);
             return;
         }
         for (std::uint32_t i = 0; i < spec.tasks; ++i) {
