--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -363,6 +363,7 @@
     std::vector<ReadyStep> readySteps(Time now);
     void placeStep(const ReadyStep& ready, Time now);
     std::optional<SpeedPreference> speedPreference(const CellJob& job, const StepSpec& spec, Time now);
+    ImageSet conflictsOf(const CellJob& job, const StepSpec& spec, Time now);
     void learnRunTime(CellTarget& target, const EndRow& end, const Occupant& occupant, Time now);
     std::vector<PlacementOption> placementOptions(const ReadyStep& ready, Time now);
     static Occupant makeOccupant(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now);
@@ -436,6 +437,7 @@
     RunTimeProfile m_runTimes;
     /** Claims of lasting tasks that must be placed again; determined before each placement. */
     std::map<TargetId, std::vector<AdviceClaim>> m_restartClaims;
+    InterferenceProfile m_interference;
     std::map<DataCentreId, DataCentreReachability> m_reachability;
     bool m_dataCentreSuspect = false; ///< Some data centre does not answer; determined in each sweep.
     double m_lossRate = 0; ///< Moving average of the share of calls to targets that get no answer.
@@ -466,6 +468,7 @@
     Counter& m_quotaDenials;
     Gauge& m_accountsAtMaximum;
     Gauge& m_openJobs;
+    Gauge& m_interferingPairs;
     Gauge& m_unattendedTasks;
     Histogram& m_taskWaitSeconds;
     Histogram& m_adviceWaitSeconds;
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -19,6 +19,8 @@
     constexpr std::uint32_t minTasksOfRestart = 4;
     /** Initial share of allowed targets, until a queue's advisor has answered. */
     constexpr double initialAllowedShare = 0.5;
+    /** Factor on the room of a target that runs an image in conflict with the step. */
+    constexpr double conflictWeight = 0.5;
 
     /** Returns a hash of a number, by the finalizer of SplitMix64. */
     std::uint64_t mixed(std::uint64_t number)
@@ -85,6 +87,7 @@
     const std::uint64_t seed = fnvHash(stepText(question.step));
     const std::vector<CellTarget*>& targets = usableTargets(queue->service, now);
     const std::optional<SpeedPreference> speeds = speedPreference(job, spec, now);
+    const ImageSet conflicts = conflictsOf(job, spec, now);
     std::vector<AdviceCandidate> candidates;
     candidates.reserve(targets.size());
     for (std::uint32_t i = 0; i < targets.size(); ++i) {
@@ -111,6 +114,8 @@
         // Room that is claimed will be free when the answer is there, or while its ticket is valid.
         if (restart && candidate.fits == 0 && hasRestartClaim(target->id(), question.step))
             candidate.fits = 1;
+        if (target->runsAnyOf(conflicts))
+            candidate.weight *= conflictWeight;
         candidate.rank = mixed(seed ^ target->serial);
         candidates.push_back(candidate);
     }
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -191,6 +191,14 @@
         m_runTimes.outlook(own->service, RunTimeProfile::groupOf(spec, own->id), speedsOfTargets, now), demand);
 }
 
+/** Returns the images that a step's tasks should not run beside. */
+ImageSet CellOwner::conflictsOf(const CellJob& job, const StepSpec& spec, Time now)
+{
+    if (m_interference.pairCount() == 0)
+        return {};
+    return m_interference.conflicts(m_interference.imageNumber(RunTimeProfile::groupOf(spec, job.spec.queue), now));
+}
+
 void CellOwner::placeStep(const ReadyStep& ready, Time now)
 {
     CellJob& job = *ready.job;
@@ -205,6 +213,7 @@
         return;
     }
     const auto speeds = options.empty() ? std::nullopt : speedPreference(job, spec, now);
+    const ImageSet conflicts = conflictsOf(job, spec, now);
     bool hasUnplaced = false;
     bool lacksRoom = false;
     for (std::uint32_t i = 0; i < spec.tasks; ++i) {
@@ -220,7 +229,8 @@
             hasUnplaced |= alone == AlonePlacement::Waiting;
             continue;
         }
-        PlacementOption* option = chooseOption(options, { &spec, &task.avoid, {}, speeds ? &*speeds : nullptr });
+        PlacementOption* option
+            = chooseOption(options, { &spec, &task.avoid, {}, speeds ? &*speeds : nullptr, conflicts });
         if (!option) {
             hasUnplaced = true;
             lacksRoom = true;
@@ -256,7 +266,8 @@
             return;
         std::vector<CellTarget*> chosen;
         const auto speeds = options.empty() ? std::nullopt : speedPreference(job, spec, now);
-        if (!placeGang(options, spec, chosen, speeds ? &*speeds : nullptr)) {
+        const ImageSet conflicts = conflictsOf(job, spec, now);
+        if (!placeGang(options, spec, chosen, { &spec, nullptr, {}, speeds ? &*speeds : nullptr, conflicts })) {
             requestAdvice(ready, now);
             return;
         }
@@ -327,6 +338,7 @@
     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recording, now);
     occupant.account = job.spec.account;
     occupant.bornAt = task.recordedBornAt;
+    occupant.image = m_interference.imageNumber(RunTimeProfile::groupOf(spec, job.spec.queue), now);
     target.occupy(key, occupant);
     useDisplacementClaim(target, key.stepKey(), occupant.taken);
     m_taskWaitSeconds.record(now - task.waitingSince);
--- a/src/cell_recovery.cpp
+++ b/src/cell_recovery.cpp
@@ -70,6 +70,7 @@
                     Occupant occupant = makeOccupant(spec, task.run, RunPhase::Recovered, now);
                     occupant.account = job.spec.account;
                     occupant.bornAt = task.recordedBornAt;
+                    occupant.image = m_interference.imageNumber(RunTimeProfile::groupOf(spec, job.spec.queue), now);
                     occupant.startedAt = now;
                     occupant.begun = task.begun;
                     occupant.alone = task.alone;
