Add: tests of claims and unconfirmed runs of accounts

Room that a step claimed while its account reached the maximum, and recorded runs on targets that a new owner can't reach, had no directed test. The gauge sp_cell_accounts_at_maximum goes back to 0 when the ownership ends.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -109,6 +109,7 @@
     m_lossRate = 0;
     m_wakeAt.reset();
     m_openJobs.set(0);
+    m_accountsAtMaximum.set(0);
 }
 
 CellJob* CellOwner::findJob(const JobId& id) const
--- a/tests/test_cell_accounts.cpp
+++ b/tests/test_cell_accounts.cpp
@@ -150,6 +150,53 @@
     check();
 }
 
+// Guards against room that is kept for a step which may not start anyway.
+TEST_CASE_FIXTURE(AccountWorld, "a step of an account at its maximum claims no room")
+{
+    QueueConfig urgent = config.queues[0];
+    urgent.id = QueueId("urgent");
+    urgent.advisor = AdvisorTraits { 2s, 0ms, 2500ms };
+    config.queues.push_back(urgent);
+    config.queues[0].priority = 1;
+    setMaximum("a", { 8000, 0, 0 });
+    advisorHosts = 1;
+    lengthOf = [](const CellTaskKey& key) { return Duration(key.job == JobId("filler") ? 5s : 60s); };
+    begin();
+    const auto stepOn = [](const char* label, std::int64_t cores) {
+        StepSpec spec = step(1, cores);
+        spec.requiredLabel = label;
+        return spec;
+    };
+    submit("filler", { stepOn("r1", 16000) });
+    run(100ms);
+    CellJobSpec spec;
+    spec.id = JobId("x");
+    spec.queue = urgent.id;
+    spec.service = ServiceId("s");
+    spec.account = AccountId("a");
+    spec.steps = { stepOn("r1", 8000) };
+    accountOf[spec.id] = spec.account;
+    specs[spec.id] = spec.steps;
+    owner->submit(std::move(spec), now, [](JobAnswer&&) {});
+    run(5600ms); // The ticket has expired, the filler has ended, and the question that renews the ticket claims room.
+    REQUIRE(running("filler") == 0);
+    REQUIRE(running("x") == 0);
+    REQUIRE(questions.size() == 2);
+    bool atMaximum = false;
+    SUBCASE("account at its maximum")
+    {
+        submit("y", { stepOn("r2", 8000) }, "a");
+        run(100ms);
+        REQUIRE(running("y") == 1);
+        atMaximum = true;
+    }
+    SUBCASE("account with room") { run(100ms); }
+    submit("z", { stepOn("r1", 16000) });
+    run(300ms);
+    CHECK(running("z") == (atMaximum ? 1 : 0));
+    check();
+}
+
 // Guards against starts beside runs that the new owner does not count, since the record of an ended job names no task.
 TEST_CASE_FIXTURE(AccountWorld, "after a take-over runs of ended jobs count until their end")
 {
@@ -180,6 +227,27 @@
     check();
 }
 
+// Guards against starts beside recorded runs whose targets the new owner can't reach.
+TEST_CASE_FIXTURE(AccountWorld, "after a take-over recorded runs count before their targets have reported")
+{
+    lengthOf = [](const CellTaskKey&) { return Duration(60s); };
+    begin();
+    submit("x", { step(4) }, "a");
+    run(500ms);
+    REQUIRE(running("x") == 4);
+    for (auto& [id, target] : targets)
+        target.reachable = false;
+    addTargets(2); // These answer.
+    takeOver();
+    submit("y", { step(4) }, "a");
+    run(4s);
+    CHECK(running("x") == 4);
+    CHECK(running("y") == 0);
+    run(20s);
+    CHECK(running("x") + running("y") == 4);
+    check();
+}
+
 // Guards against runs that count for nobody, as no record names them.
 TEST_CASE_FIXTURE(AccountWorld, "a reported run that no record names counts towards the account of its job")
 {
