--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -120,7 +120,8 @@
  * @param perStep Overhead added for each step, such as the time of a call to the advisor.
  * @return Duration of the job if none of its tasks has to wait for capacity.
  */
-std::chrono::milliseconds longestChain(const std::vector<StepSpec>& steps, std::chrono::milliseconds perStep)
+std::chrono::milliseconds longestChain(
+    const std::vector<StepSpec>& steps, const StepRunTimes& runTimes, std::chrono::milliseconds perStep)
 {
     std::vector<std::chrono::milliseconds> ends(steps.size());
     std::chrono::milliseconds longest { 0 };
@@ -128,7 +129,7 @@
         std::chrono::milliseconds begin { 0 };
         for (const std::uint32_t dependency : steps[i].after)
             begin = std::max(begin, ends[dependency]);
-        ends[i] = begin + steps[i].estimate + perStep;
+        ends[i] = begin + runTimes[i] + perStep;
         longest = std::max(longest, ends[i]);
     }
     return longest;
@@ -138,9 +139,9 @@
  * Computes what is left to do of an occurrence.
  * @param perStep Overhead added for each step that has not begun, such as the time of a call to the advisor.
  */
-RemainingWork remainingWork(
-    const std::vector<StepSpec>& steps, const OccurrenceState& occurrence, std::chrono::milliseconds perStep)
+RemainingWork remainingWork(const CellJob& job, const OccurrenceState& occurrence, std::chrono::milliseconds perStep)
 {
+    const std::vector<StepSpec>& steps = job.spec.steps;
     RemainingWork remaining;
     std::vector<std::chrono::milliseconds> ends(steps.size());
     for (std::size_t i = 0; i < steps.size(); ++i) {
@@ -156,9 +157,9 @@
         std::chrono::milliseconds begin { 0 };
         for (const std::uint32_t dependency : steps[i].after)
             begin = std::max(begin, ends[dependency]);
-        ends[i] = begin + steps[i].estimate + (begun ? std::chrono::milliseconds(0) : perStep);
+        ends[i] = begin + job.runTimes[i] + (begun ? std::chrono::milliseconds(0) : perStep);
         remaining.path = std::max(remaining.path, ends[i]);
-        remaining.coreMs += waiting * steps[i].demand.coresMilli * steps[i].estimate.count() / 1000;
+        remaining.coreMs += waiting * steps[i].demand.coresMilli * job.runTimes[i].count() / 1000;
     }
     return remaining;
 }
--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -92,6 +92,8 @@
     bool sizeUnknown = false; ///< The demand is not known.
 };
 
+using StepRunTimes = std::vector<std::chrono::milliseconds>; ///< Run time of one task, by step.
+
 /** A job in the memory of the owner. */
 struct CellJob {
     CellJobSpec spec;
@@ -107,6 +109,7 @@
     CalendarTime acceptedAt {};
     /** Maximum time from submission to completion at which the job still has its full value. */
     std::chrono::milliseconds objective { 0 };
+    StepRunTimes runTimes; ///< Expected run time of one task of each step.
     /** Submitted beyond the usual rate of its account. Known to the owner that accepted the job only. */
     bool beyondRate = false;
     Time finishedAt {};
@@ -154,12 +157,12 @@
 /** Work of an occurrence that is still to be done. */
 struct RemainingWork {
     std::chrono::milliseconds path { 0 }; ///< Critical path of the steps that are not complete.
-    std::int64_t coreMs = 0; ///< Core-milliseconds of the tasks that wait for placement, by estimate.
+    std::int64_t coreMs = 0; ///< Core-milliseconds of the tasks that wait for placement.
 };
 
-RemainingWork remainingWork(
-    const std::vector<StepSpec>& steps, const OccurrenceState& occurrence, std::chrono::milliseconds perStep);
-std::chrono::milliseconds longestChain(const std::vector<StepSpec>& steps, std::chrono::milliseconds perStep);
+RemainingWork remainingWork(const CellJob& job, const OccurrenceState& occurrence, std::chrono::milliseconds perStep);
+std::chrono::milliseconds longestChain(
+    const std::vector<StepSpec>& steps, const StepRunTimes& runTimes, std::chrono::milliseconds perStep);
 std::optional<std::string> jobSpecProblem(const CellJobSpec& spec);
 
 std::string encodeJobSpec(const CellJobSpec& spec);
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -185,6 +185,11 @@
 void CellOwner::setConfig(const CellConfig& config)
 {
     m_config = config;
+    if (config.accounts.empty()) {
+        m_accountRates = {};
+        m_load = {};
+        m_accountsAboveShare.set(0);
+    }
     m_accountRates.setAccounts(config.accounts);
     for (const QueueConfig& queue : config.queues)
         m_queues[queue.id] = queue;
@@ -345,9 +350,7 @@
 /** Adds a job to the open jobs, computes its time objective and begins its occurrences. */
 void CellOwner::activateJob(CellJob& job, Time now)
 {
-    const QueueConfig* queue = queueOf(job);
-    job.objective
-        = objectiveOf(job, longestChain(job.spec.steps, queue ? adviceTime(*queue) : std::chrono::milliseconds(0)));
+    updateRunTimes(job);
     m_open.push_back(&job);
     m_openJobs.set(static_cast<std::int64_t>(m_open.size()));
     if (!job.timed())
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -11,6 +11,7 @@
 #include "metrics.h"
 #include "placement.h"
 #include "record_log.h"
+#include "run_time_estimate.h"
 #include "run_time_profile.h"
 #include "work_order.h"
 
@@ -370,6 +371,8 @@
     void assignTask(CellJob& job, const CellTaskKey& key, CellTarget& target, Time now);
     WorkItem workItemOf(const CellJob& job, std::uint32_t occurrence, std::uint32_t step) const;
     std::optional<WorkRank> rankOf(const CellJob& job, std::uint32_t occurrence, std::uint32_t step, Time now) const;
+    StepRunTimes runTimesOf(const CellJobSpec& spec) const;
+    void updateRunTimes(CellJob& job) const;
     void updateShares(Time now);
     void addToBacklog(const CellJob& job, std::uint32_t occurrence, Time now);
     BacklogVerdict checkBacklogFor(const CellJob& job, Time now);
@@ -435,6 +438,7 @@
     std::map<QueueId, double> m_allowedShare;
     std::map<TargetId, std::vector<AdviceClaim>> m_adviceClaims; ///< Claims of questions that are not answered yet.
     RunTimeProfile m_runTimes;
+    RunTimeEstimates m_runTimeEstimates;
     /** Claims of lasting tasks that must be placed again; determined before each placement. */
     std::map<TargetId, std::vector<AdviceClaim>> m_restartClaims;
     InterferenceProfile m_interference;
--- a/src/cell_owner_order.cpp
+++ b/src/cell_owner_order.cpp
@@ -29,6 +29,26 @@
         : std::chrono::milliseconds(0);
 }
 
+/** Returns the expected run times of a job's steps: with client accounts the learned ones, else the estimates. */
+StepRunTimes CellOwner::runTimesOf(const CellJobSpec& spec) const
+{
+    StepRunTimes times;
+    for (const StepSpec& step : spec.steps)
+        times.push_back(m_config.accounts.empty() || step.lasting
+                ? step.estimate
+                : m_runTimeEstimates.expected(RunTimeProfile::groupOf(step, spec.queue), step.estimate));
+    return times;
+}
+
+/** Updates what a job's place in the queue is computed from, as more is known of run times. */
+void CellOwner::updateRunTimes(CellJob& job) const
+{
+    const QueueConfig* queue = queueOf(job);
+    job.runTimes = runTimesOf(job.spec);
+    job.objective = objectiveOf(
+        job, longestChain(job.spec.steps, job.runTimes, queue ? adviceTime(*queue) : std::chrono::milliseconds(0)));
+}
+
 /** Returns the place of a step in the queue of its priority, nothing if the cell has no client accounts. */
 std::optional<WorkRank> CellOwner::rankOf(
     const CellJob& job, std::uint32_t occurrence, std::uint32_t step, Time now) const
@@ -46,7 +66,7 @@
         return {};
     const QueueConfig* queue = queueOf(job);
     const RemainingWork remaining
-        = remainingWork(job.spec.steps, state->second, queue ? adviceTime(*queue) : std::chrono::milliseconds(0));
+        = remainingWork(job, state->second, queue ? adviceTime(*queue) : std::chrono::milliseconds(0));
     WorkItem item;
     item.submittedAt = job.submittedAt;
     for (const StepState& other : state->second.steps) {
@@ -160,7 +180,8 @@
     m_load.sharesUpdatedAt = now;
     m_load.services.clear();
     std::map<ServiceId, std::map<AccountId, AccountLoad>> loads;
-    for (const CellJob* job : m_open) {
+    for (CellJob* job : m_open) {
+        updateRunTimes(*job);
         AccountLoad& load = loads[serviceOf(*job)][job->spec.account];
         ServiceLoad& serviceLoad = m_load.services[serviceOf(*job)];
         for (const auto& [number, occurrence] : job->occurrences) {
@@ -169,7 +190,7 @@
                     continue;
                 const Resources demand = job->spec.steps[s].reserved();
                 const double cores = static_cast<double>(demand.coresMilli) / 1000;
-                const double seconds = std::chrono::duration<double>(job->spec.steps[s].estimate).count();
+                const double seconds = std::chrono::duration<double>(job->runTimes[s]).count();
                 for (const TaskState& task : occurrence.steps[s].tasks) {
                     if (task.done)
                         continue;
@@ -279,7 +300,7 @@
     if (const auto wait = m_load.adviceWaits.find(queue->id);
         wait != m_load.adviceWaits.end() && now - wait->second.second <= adviceWaitValidity)
         state.adviceWait = std::chrono::duration_cast<std::chrono::milliseconds>(wait->second.first);
-    const auto path = longestChain(job.spec.steps, adviceTime(*queue));
+    const auto path = longestChain(job.spec.steps, runTimesOf(job.spec), adviceTime(*queue));
     return checkBacklog(state, { path, objectiveOf(job, path), queue->slackFactor, job.beyondRate });
 }
 
--- a/src/work_order.cpp
+++ b/src/work_order.cpp
@@ -76,7 +76,9 @@
         rank.band = item.beyondRate ? WorkBand::Rest : item.aboveShare ? WorkBand::InTimeAboveShare : WorkBand::InTime;
         return rank;
     }
-    const Time expectedEnd = now + pathWithMargin(item.remainingPath, item.slackFactor);
+    const std::chrono::milliseconds path
+        = item.begun ? item.remainingPath : pathWithMargin(item.remainingPath, item.slackFactor);
+    const Time expectedEnd = now + path;
     rank.worthless = expectedEnd > item.submittedAt + item.objective * lateObjectiveFactor;
     if (rank.worthless || item.beyondRate)
         rank.band = WorkBand::Rest;
@@ -84,6 +86,10 @@
         rank.band = WorkBand::Late;
     else
         rank.band = item.aboveShare ? WorkBand::InTimeAboveShare : WorkBand::InTime;
+    if (rank.band <= WorkBand::InTimeAboveShare) {
+        rank.latestBegin = item.submittedAt + item.objective - path;
+        return rank;
+    }
     rank.sizeClass = sizeClassOf(item.remainingCoreMs);
     if (item.begun && item.objective.count() > 0)
         rank.sizeClass -= static_cast<int>((now - item.submittedAt) / Duration(item.objective));
--- a/src/work_order.h
+++ b/src/work_order.h
@@ -36,8 +36,10 @@
 struct WorkRank {
     WorkBand band = WorkBand::InTime;
     bool worthless = false; ///< Can't complete within three times the objective.
+    bool unbegun = false; ///< Finishing a job that has begun gives its whole value for a part of its work.
+    /** Latest time at which the remaining work can begin and end within the objective; set in the first two bands. */
+    Time latestBegin {};
     int sizeClass = 0; ///< Binary logarithm of the remaining work, less the credit of jobs that have begun.
-    bool unbegun = false;
     Time submittedAt {};
 
     auto operator<=>(const WorkRank&) const = default;
