Change: in the last band, accounts within their share go first

Change: among jobs beyond the rate or without value, those of accounts within their share come first, in the order and in the admission.

--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -202,6 +202,7 @@
         int priority = 0;
         WorkBand band = WorkBand::InTime;
         bool worthless = false;
+        bool aboveShare = false;
         auto operator<=>(const BacklogKey&) const = default;
     };
 
--- a/src/cell_owner_order.cpp
+++ b/src/cell_owner_order.cpp
@@ -224,7 +224,8 @@
         return; // Has no end by which others could expect its room.
     const WorkItem item = workItemOf(job, occurrence, 0);
     const WorkRank rank = workRank(item, now);
-    Backlog& backlog = m_load.services[serviceOf(job)].backlog[{ priorityOf(job), rank.band, rank.worthless }];
+    Backlog& backlog
+        = m_load.services[serviceOf(job)].backlog[{ priorityOf(job), rank.band, rank.worthless, rank.aboveShare }];
     backlog.coreSeconds += static_cast<double>(item.remainingCoreMs) / 1000;
     for (std::size_t s = 0; s < steps.size(); ++s) {
         if (steps[s].readyAt == Time {} || steps[s].complete())
@@ -269,10 +270,12 @@
         }
         state.freeCores += places;
     }
+    const bool isAbove = m_load.aboveShare.contains({ queue->service, job.spec.account });
     for (const auto& [key, backlog] : load.backlog) {
         const bool first = key.priority < queue->priority
             || (key.priority == queue->priority
-                && (job.beyondRate ? !key.worthless : key.band <= WorkBand::InTimeAboveShare));
+                && (job.beyondRate ? !key.worthless && (isAbove || !key.aboveShare)
+                                   : key.band <= WorkBand::InTimeAboveShare));
         state.coresAhead += first ? backlog.cores : 0;
         state.coreSecondsAhead += first ? backlog.coreSeconds : 0;
     }
--- a/src/work_order.cpp
+++ b/src/work_order.cpp
@@ -78,9 +78,10 @@
     }
     const Time expectedEnd = now + pathWithMargin(item.remainingPath, item.slackFactor);
     rank.worthless = expectedEnd > item.submittedAt + item.objective * lateObjectiveFactor;
-    if (rank.worthless || item.beyondRate)
+    if (rank.worthless || item.beyondRate) {
         rank.band = WorkBand::Rest;
-    else if (expectedEnd > item.submittedAt + item.objective)
+        rank.aboveShare = item.aboveShare;
+    } else if (expectedEnd > item.submittedAt + item.objective)
         rank.band = WorkBand::Late;
     else
         rank.band = item.aboveShare ? WorkBand::InTimeAboveShare : WorkBand::InTime;
--- a/src/work_order.h
+++ b/src/work_order.h
@@ -36,6 +36,7 @@
 struct WorkRank {
     WorkBand band = WorkBand::InTime;
     bool worthless = false; ///< Can't complete within three times the objective.
+    bool aboveShare = false; ///< In WorkBand::Rest: of an account above its share, as one that goes on submitting is.
     int sizeClass = 0; ///< Binary logarithm of the remaining work, less the credit of jobs that have begun.
     bool unbegun = false;
     Time submittedAt {};
--- a/tests/test_work_order.cpp
+++ b/tests/test_work_order.cpp
@@ -65,6 +65,12 @@
     WorkItem worthless = own;
     worthless.submittedAt = start - 2min;
     CHECK(workRank(beyondRate, start) < workRank(worthless, start));
+    // Irregular submissions exceed the rate now and then; they don't wait behind those of an account in a burst.
+    WorkItem burst = beyondRate;
+    burst.aboveShare = true;
+    burst.remainingCoreMs /= 4;
+    CHECK(workRank(beyondRate, start) < workRank(burst, start));
+    CHECK(workRank(burst, start) < workRank(worthless, start));
 }
 
 TEST_CASE("within a band, less remaining work goes first, then jobs that have begun, then the oldest")
