--- a/src/account_rate.cpp
+++ b/src/account_rate.cpp
@@ -6,16 +6,20 @@
 
 namespace {
 
-    constexpr double burstSeconds = 1; ///< A bucket holds the jobs of this time.
     constexpr double minBurstJobs = 1; ///< An account of less than one job per second may submit single jobs.
 
 } // namespace
 
-double AccountRates::capacityOf(const Bucket& bucket) { return std::max(minBurstJobs, bucket.weight * burstSeconds); }
+double AccountRates::capacityOf(const Bucket& bucket) const
+{
+    const double jobs = bucket.weight * std::chrono::duration<double>(m_tolerance.window).count() + m_tolerance.jobs;
+    return std::max(minBurstJobs, jobs);
+}
 
 /** Sets the weights. Known accounts keep their level; those that were removed keep their weight, as jobs may follow. */
-void AccountRates::setAccounts(const std::vector<ClientAccount>& accounts)
+void AccountRates::setAccounts(const std::vector<ClientAccount>& accounts, const RateTolerance& tolerance)
 {
+    m_tolerance = tolerance;
     for (const ClientAccount& account : accounts)
         m_buckets[account.id].weight = account.weight;
 }
--- a/src/account_rate.h
+++ b/src/account_rate.h
@@ -8,10 +8,16 @@
 
 namespace sp {
 
+/** Deviations from the mean rate of an account that count as its usual rate. */
+struct RateTolerance {
+    std::chrono::milliseconds window { 1000 }; ///< An account may submit the jobs of this time at once.
+    double jobs = 0; ///< Further jobs; without them single jobs of small accounts count as a burst.
+};
+
 /** Token buckets of all client accounts, refilled by the account's weight in jobs per second. */
 class AccountRates {
 public:
-    void setAccounts(const std::vector<ClientAccount>& accounts);
+    void setAccounts(const std::vector<ClientAccount>& accounts, const RateTolerance& tolerance);
     bool takeToken(const AccountId& id, Time now);
 
 private:
@@ -20,8 +26,9 @@
         double tokens = 0;
         Time filledAt {}; ///< Time up to which tokens were added; unset for a full bucket.
     };
-    static double capacityOf(const Bucket& bucket);
+    double capacityOf(const Bucket& bucket) const;
 
+    RateTolerance m_tolerance;
     std::map<AccountId, Bucket> m_buckets;
 };
 
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -125,7 +125,7 @@
     m_restartClaims.clear();
     m_admission = {};
     m_accountRates = {};
-    m_accountRates.setAccounts(m_config.accounts);
+    m_accountRates.setAccounts(m_config.accounts, m_bounds.rateTolerance);
     m_load = {};
     m_accountsAboveShare.set(0);
     m_lossRate = 0;
@@ -190,7 +190,7 @@
         m_load = {};
         m_accountsAboveShare.set(0);
     }
-    m_accountRates.setAccounts(config.accounts);
+    m_accountRates.setAccounts(config.accounts, m_bounds.rateTolerance);
     for (const QueueConfig& queue : config.queues)
         m_queues[queue.id] = queue;
     setAccounts(config.accounts);
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -38,6 +38,7 @@
     std::chrono::milliseconds maxWait { 2000 }; ///< Longest time for which a target may delay a report (long poll).
     /** Shortest time that a draining target stays, unless its entry gives another. */
     std::chrono::milliseconds drain { 2000 };
+    RateTolerance rateTolerance; ///< Jobs that an account may submit beyond its mean rate before they count as excess.
     /** Target entries that lapsed during a store outage are registered again within this time. */
     std::chrono::milliseconds listSettled { 2000 };
 };
@@ -217,6 +218,7 @@
         int priority = 0;
         WorkBand band = WorkBand::InTime;
         bool worthless = false;
+        bool aboveShare = false;
         auto operator<=>(const BacklogKey&) const = default;
     };
 
--- a/src/work_order.h
+++ b/src/work_order.h
@@ -36,6 +36,7 @@
 struct WorkRank {
     WorkBand band = WorkBand::InTime;
     bool worthless = false; ///< Can't complete within three times the objective.
+    bool aboveShare = false; ///< In WorkBand::Rest: of an account above its share, as one that goes on submitting is.
     bool unbegun = false; ///< Finishing a job that has begun gives its whole value for a part of its work.
     /** Latest time at which the remaining work can begin and end within the objective; set in the first two bands. */
     Time latestBegin {};
