--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -67,6 +67,7 @@
     StepAdvice advice;
     Time readyAt {}; ///< Time at which all preceding steps were complete; unset before.
     Time displacementNotBefore {}; ///< Runs are displaced for the step no more often than this allows.
+    Duration longestRun {}; ///< Longest run time of a task that is done, of those that were not resumed.
     bool mayHaveWaitingTasks = true; ///< False if all tasks are known to be placed or done.
 
     /** Returns whether all tasks of the step are done. */
@@ -92,7 +93,7 @@
     bool sizeUnknown = false; ///< The demand is not known.
 };
 
-using StepRunTimes = std::vector<std::chrono::milliseconds>; ///< Run time of one task, by step.
+using StepRunTimes = std::vector<std::chrono::milliseconds>; ///< Run time of the longest task, by step.
 
 /** A job in the memory of the owner. */
 struct CellJob {
@@ -109,7 +110,7 @@
     CalendarTime acceptedAt {};
     /** Maximum time from submission to completion at which the job still has its full value. */
     std::chrono::milliseconds objective { 0 };
-    StepRunTimes runTimes; ///< Expected run time of one task of each step.
+    StepRunTimes runTimes; ///< Expected run time of the longest task of each step.
     /** Submitted beyond the usual rate of its account. Known to the owner that accepted the job only. */
     bool beyondRate = false;
     Time finishedAt {};
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -30,6 +30,8 @@
         setDone(step.tasks[key.index]);
     if (!step.complete())
         return;
+    if (step.longestRun > Duration(0))
+        m_runTimeEstimates.learn(RunTimeProfile::groupOf(spec, job.spec.queue), spec.estimate, step.longestRun);
     step.advice = {};
     markReadySteps(job, occurrence, now);
     markDirty(job, now, saveBatchDelay);
--- a/src/cell_owner_displacement.cpp
+++ b/src/cell_owner_displacement.cpp
@@ -76,7 +76,7 @@
     const StepSpec& spec = job.spec.steps[ready.step];
     const OccurrenceState& occurrence = job.occurrences.at(ready.occurrence);
     const StepState& state = occurrence.steps[ready.step];
-    if (m_storeStalled || ready.valueLost || now < state.displacementNotBefore)
+    if (m_storeStalled || ready.valueLost || job.beyondRate || now < state.displacementNotBefore)
         return false;
     Time waitingSince = now;
     for (const TaskState& task : state.tasks)
@@ -130,7 +130,8 @@
         return std::nullopt;
     if (remainingTime(occupant, now) <= m_bounds.stopTimeout)
         return std::nullopt;
-    DisplaceableRun run { 0, occupant.taken, task->displaced, job->hasLostValue(now), false, {} };
+    const bool aboveShare = m_load.aboveShare.contains({ serviceOf(*job), job->spec.account });
+    DisplaceableRun run { 0, occupant.taken, task->displaced, job->hasLostValue(now), aboveShare, {} };
     run.delay = std::min<Duration>(now - occupant.since, checkpointInterval);
     // A step without waiting tasks needs a further call to the advisor.
     if (queue->advisor && !hasWaitingTasks(*job->step(key.stepKey())))
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -605,7 +605,8 @@
     // A gang makes progress at the pace of its slowest member.
     if (spec.estimate.count() <= 0 || spec.fills || spec.lasting || spec.gang || recovered || resumed || remote)
         return;
-    m_runTimeEstimates.learn(RunTimeProfile::groupOf(spec, job->spec.queue), spec.estimate, now - occupant.since);
+    StepState& state = *findJob(end.task.job)->step(end.task.stepKey());
+    state.longestRun = std::max(state.longestRun, now - occupant.since);
     const double ratio = std::chrono::duration<double>(now - occupant.since) / spec.estimate;
     ExposedRun run { occupant.image, {}, 0, 0, target.serial };
     target.endedRuns.addExposure(run.beside, occupant.since, now);
--- a/src/run_time_estimate.cpp
+++ b/src/run_time_estimate.cpp
@@ -8,9 +8,8 @@
 namespace {
 
     constexpr std::size_t maxGroups = 64; ///< Tasks of further groups keep their estimates.
-    /** Runs after which a group is known: several jobs, since the tasks of one job are alike. */
-    constexpr double minSamples = 100;
-    constexpr double averageLength = 1000; ///< Runs over which the moments are averaged.
+    constexpr double minSamples = 10; ///< Steps after which a group is known.
+    constexpr double averageLength = 200; ///< Steps over which the moments are averaged.
     constexpr double minVariance = 1e-4; ///< Estimates and run times are not known to more than a percent.
 
     double logSeconds(std::chrono::duration<double> time) { return std::log(std::max(time.count(), 1e-3)); }
@@ -25,7 +24,7 @@
     variance += (difference * (value - mean) - variance) / samples;
 }
 
-/** Records a run that has ended successfully and that was neither resumed nor slowed down by a limit. */
+/** Records a completed step. @param took Run time of its longest task. */
 void RunTimeEstimates::learn(const std::string& group, std::chrono::milliseconds estimate, Duration took)
 {
     if (estimate.count() <= 0 || (m_groups.size() >= maxGroups && !m_groups.contains(group)))
@@ -35,7 +34,7 @@
     entry.error.add(logSeconds(took) - logSeconds(estimate));
 }
 
-/** Returns the run time to expect; the estimate itself until enough runs of the group have ended. */
+/** Returns the run time to expect of the longest task of a step; the estimate itself until the group is known. */
 std::chrono::milliseconds RunTimeEstimates::expected(const std::string& group, std::chrono::milliseconds estimate) const
 {
     const auto it = m_groups.find(group);
--- a/src/run_time_estimate.h
+++ b/src/run_time_estimate.h
@@ -1,4 +1,4 @@
-/** @file run_time_estimate.h Corrects the run times that callers estimate by those of earlier tasks of the group. */
+/** @file run_time_estimate.h Corrects the run times that callers estimate by those of earlier steps of the group. */
 #pragma once
 
 #include "time_type.h"
@@ -10,10 +10,10 @@
 namespace sp {
 
 /**
- * Run times of groups of tasks. The logarithm of a run time is normally distributed around the mean of its group, and a
- * caller's estimate is that logarithm with an error of its own. Both spreads are learned from ended runs; the expected
- * run time is the mean of the two, weighted by their precision. So an estimate that says little hardly counts, and an
- * exact one decides alone. Kept in memory only.
+ * Run times of steps, that is of the longest task of each, by group. The logarithm of a run time is normally
+ * distributed around the mean of its group, and a caller's estimate is that logarithm with an error of its own. Both
+ * spreads are learned from completed steps; the expected run time is the mean of the two, weighted by their precision.
+ * So an estimate that says little hardly counts, and an exact one decides alone. Kept in memory only.
  */
 class RunTimeEstimates {
 public:
--- a/tests/test_displacement.cpp
+++ b/tests/test_displacement.cpp
@@ -157,7 +157,7 @@
         background.targetLatency = 1200ms;
         background.advisor = AdvisorTraits { 507ms, 7150us, 2500ms };
         config.queues = { quick, background };
-        ClientAccount account;
+        ClientAccount client;
         account.id = AccountId("a");
         config.accounts = { account };
         bounds.stopTimeout = 400ms;
