--- a/tests/test_displacement.cpp
+++ b/tests/test_displacement.cpp
@@ -158,8 +158,8 @@
         background.advisor = AdvisorTraits { 507ms, 7150us, 2500ms };
         config.queues = { quick, background };
         ClientAccount client;
-        account.id = AccountId("a");
-        config.accounts = { account };
+        client.id = AccountId("a");
+        config.accounts = { client };
         bounds.stopTimeout = 400ms;
         stopsTake = 200ms;
         addTargets(40, { 14000, 64000, 0 }); // Three long tasks fill a target.
