--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -444,6 +444,7 @@
     /** Claims of lasting tasks that must be placed again; determined before each placement. */
     std::map<TargetId, std::vector<AdviceClaim>> m_restartClaims;
     InterferenceProfile m_interference;
+    int m_displacementSearches = 0; ///< Searches for runs to displace that are left in this placement pass.
     std::map<DataCentreId, DataCentreReachability> m_reachability;
     bool m_dataCentreSuspect = false; ///< Some data centre does not answer; determined in each sweep.
     double m_lossRate = 0; ///< Moving average of the share of calls to targets that get no answer.
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -124,8 +124,11 @@
 /** Places waiting tasks in order of urgency, as far as capacity allows. */
 void CellOwner::dispatch(Time now)
 {
+    /** A search looks at all runs of some 20 targets; in a full cell hundreds of steps would ask for one. */
+    constexpr int maxDisplacementSearches = 4;
     if (!m_mayOrder)
         return;
+    m_displacementSearches = maxDisplacementSearches;
     updateShares(now);
     std::vector<ReadyStep> ready = readySteps(now);
     claimRoomForRestarts(ready, now);
--- a/src/cell_owner_displacement.cpp
+++ b/src/cell_owner_displacement.cpp
@@ -178,7 +178,7 @@
  */
 void CellOwner::displaceFor(const ReadyStep& ready, Time now)
 {
-    if (!mayDisplace(ready, now))
+    if (m_displacementSearches == 0 || !mayDisplace(ready, now))
         return;
     const StepKey stepKey = ready.stepKey();
     StepState& state = *ready.job->step(stepKey);
@@ -186,6 +186,7 @@
     const std::vector<CellTarget*> targets = displacementTargets(ready, now);
     if (targets.empty())
         return;
+    --m_displacementSearches;
     state.displacementNotBefore = now + displacementPause;
     std::uint32_t lacking = 0;
     for (const TaskState& task : state.tasks)
