--- a/src/work_order.cpp
+++ b/src/work_order.cpp
@@ -62,10 +62,11 @@
 /**
  * Returns the place of a step in the queue of its priority.
  *
- * The end of the objective decides about the band only. Ordered by it, overdue jobs would stay ahead of all new ones,
- * so that under overload every job is late. Within a band, the value per core-second decides: as the value of a job
- * hardly grows with its size, that is the least remaining work. A job that has begun gains a size class for each
- * objective that has passed since its submission, so that small new jobs don't overtake it for ever.
+ * Ordered by the end of the objective alone, overdue jobs would stay ahead of all new ones, so that under overload every
+ * job is late. In the first two bands, jobs that have begun go first, as their whole value is gained by a part of their
+ * work, then those with the least slack. In the others the value per core-second decides, which a large job has less of:
+ * the least remaining work. There, a job that has begun gains a size class for each objective that has passed since its
+ * submission, so that small ones don't overtake it for ever.
  */
 WorkRank workRank(const WorkItem& item, Time now)
 {
