Add: client accounts in the fault soak of real processes

The soak had no keys and no quotas. Checked: such a job is never accepted, and no start brings an account above its highest maximum by more than a tenth and one task.

--- a/tests/platform_soak/entry_soak.py
+++ b/tests/platform_soak/entry_soak.py
@@ -30,6 +30,7 @@
 LOSS_SLACK_S = 0.2  # A request that a process may not have read before its end.
 QUIET_S = 25.0  # After the last fault: leases of 10 s lapse, and what waits is worked off.
 DEADLY_SHARE = 0.02  # Jobs with a task that crashes its target.
+STRANGER_SHARE = 0.1  # Of the jobs with accounts: first submitted with an unknown key.
 ENDED = ("completed", "failed", "cancelled")
 
 
@@ -116,12 +117,13 @@
         self.soak, self.rng = soak, rng
         self.connections = {}
 
-    async def call(self, method, job, body=None):
+    async def call(self, method, job, body=None, key=None):
         host = self.rng.choice(self.soak.hosts)
         connection = self.connections.pop(host.ip, None) or Connection(host.ip, CALLER_PORT)
         sent = now()
         status, answer, _ = await connection.call(
-            method, "/q/" + job, body, {"Host": "jobs.test", "Deadline-Ms": "3000"}, timeout=3.5)
+            method, "/q/" + job, body, {"Host": "jobs.test", "Deadline-Ms": "3000", **self.soak.key_header(job, key)},
+            timeout=3.5)
         self.connections[host.ip] = connection
         held = now() - sent
         if status == 0 and host.stopping_since and LOSS_SLACK_S < held < DEADLINE_S:
@@ -144,6 +146,10 @@
         soak.audit.specs[job] = spec
         if random.Random(job).random() < DEADLY_SHARE:  # Of its own, so that older seeds keep their faults.
             soak.audit.deadly.add(job)
+        if soak.args.accounts and random.Random(job + "key").random() < STRANGER_SHARE:
+            status, _ = await self.call("POST", job, spec, "never-configured")
+            if status == 200:
+                soak.audit.broken(f"ROUTE: {job} is accepted with a key that no configuration ever held")
         refusals_only = True
         accepted = False
         for _ in range(5):
@@ -220,9 +226,33 @@
         self.version = itertools.count(1)
         self.ending = False
 
+    def account_of(self, job):
+        return f"account-{random.Random(job + 'account').randrange(self.args.accounts)}"
+
+    def key_header(self, job, key):
+        if not self.args.accounts:
+            return {}
+        self.audit.accounts[job] = self.account_of(job)
+        return {"Authorization": "Bearer " + (key or "key-of-" + self.account_of(job))}
+
+    def accounts(self, version):
+        """Accounts of a version: quotas shrink and grow, and each version has a key that the others have not."""
+        if not self.args.accounts:
+            return {}
+        accounts = []
+        for index in range(self.args.accounts):
+            name = f"account-{index}"
+            maximum = (40000, 60000) if version % 2 else (24000, 36000)
+            self.audit.maximum[name] = max(self.audit.maximum.get(name, maximum), maximum)
+            accounts.append({"name": name, "api_keys": ["key-of-" + name, f"key-{version}-{index}"], "weight": 4,
+                             "maximum": {"cpu": maximum[0], "mem_mb": maximum[1], "gpus": 0}})
+        return {"tenants": accounts}
+
     def write_config(self):
+        version = next(self.version)
         self.store.put("op/config", json.dumps({
-            "version": next(self.version) * 3,
+            "version": version * 3,
+            **self.accounts(version),
             "routes": [{"name": "q", "host": "jobs.test", "prefix": "/q/", "service": "svc", "timeout_ms": 3000,
                         "target_latency_ms": 250, "priority": 0, "max_attempts": 4, "slack_factor": 1.5,
                         "hint": {"decision_ms": 20, "per_worker_ms": 0.3, "validity_ms": 2000}}],
@@ -457,6 +487,7 @@
     parser.add_argument("--seconds", type=float, default=20, help="time with load and faults")
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--targets", type=int, default=16)
+    parser.add_argument("--accounts", type=int, default=0, help="client accounts with keys and quotas; 0 for none")
     parser.add_argument("--out", help="folder for settings and logs; default: a new one")
     soak = Soak(parser.parse_args())
     soak.out.mkdir(parents=True, exist_ok=True)
--- a/tests/platform_soak/standins.py
+++ b/tests/platform_soak/standins.py
@@ -165,11 +165,27 @@
         self.failures = {}  # task -> ends `failed`
         self.starts_after_crashes = {}  # task -> starts after the third crash
         self.starts = 0
+        self.accounts = {}  # job -> account that submitted it
+        self.maximum = {}  # account -> highest maximum of all configurations, as (cpu, mem_mb)
+        self.used = {}  # account -> what its runs hold on all targets
         self.violations = []
 
     def broken(self, text):
         self.violations.append(text)
 
+    def hold(self, task, asks, sign):
+        """Adds a run to what its account holds, or takes it off. Returns what the account holds now."""
+        account = self.accounts.get(task.split(".")[0])
+        self.used[account] = tuple(u + sign * a for u, a in zip(self.used.get(account, (0, 0)), asks))
+        return account, self.used[account]
+
+    def check_quota(self, task, name, asks):
+        """A start may exceed the maximum by a tenth and one task."""
+        account, used = self.hold(task, asks, 1)
+        for field, value, maximum, own in zip(("cpu", "mem_mb"), used, self.maximum.get(account, ()), asks):
+            if value > maximum * 1.1 + own:
+                self.broken(f"QUOTA: {task} on {name}: {account} holds {value} of {maximum} {field}")
+
 
 class Target:
     """Runs tasks by the platform's rules."""
@@ -251,7 +267,7 @@
         self.alive = True
 
     def forget(self, task):
-        self.runs.pop(task)
+        self.audit.hold(task, self.runs.pop(task)["asks"], -1)
         self.audit.running.get(task, set()).discard(self.name)
 
     def end(self, task, how):
@@ -343,6 +359,7 @@
         if job in audit.deadly and step == index == "0":
             asyncio.get_running_loop().call_later(0.01, self.crash_by, task)
         audit.starts += 1
+        audit.check_quota(task, self.name, (asked["cpu"], asked["mem_mb"]))
         audit.running.setdefault(task, set()).add(self.name)
         self.runs[task] = {"run": number, "asks": (asked["cpu"], asked["mem_mb"]), "stops": 0, "at": now(),
                            "ends": now() + asked["estimate_ms"] / 1000 * self.rng.uniform(0.7, 1.3),
