--- a/src/account_rate.cpp
+++ b/src/account_rate.cpp
@@ -48,4 +48,11 @@
     return true;
 }
 
+/** Gives back the token of a job that was refused, since its account will submit it again. */
+void AccountRates::returnToken(const AccountId& id)
+{
+    if (const auto it = m_buckets.find(id); it != m_buckets.end())
+        it->second.tokens = std::min(capacityOf(it->second), it->second.tokens + 1);
+}
+
 } // namespace sp
--- a/src/account_rate.h
+++ b/src/account_rate.h
@@ -19,6 +19,7 @@
 public:
     void setAccounts(const std::vector<ClientAccount>& accounts, const RateTolerance& tolerance);
     bool takeToken(const AccountId& id, Time now);
+    void returnToken(const AccountId& id);
 
 private:
     struct Bucket {
--- a/src/byte_budget.cpp
+++ b/src/byte_budget.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    constexpr std::chrono::milliseconds firstRequestTime { 500 }; ///< A new client has sent its first request by then.
+    constexpr std::size_t openPerKeptNew = 4; ///< One in so many connections may be new before they count as a crowd.
+
     /** The rest is for the program (16 MB), the owner's jobs and targets, and the sockets' buffers in the kernel. */
     constexpr std::size_t memoryPerBudget = 4;
     constexpr std::size_t budgetPerReserve = 4;
@@ -82,6 +85,8 @@
 /**
  * Selects the connection to close when there are too many: first those on which no request was ever answered, since
  * clients that were served reuse theirs, then idle ones, and last those that send a body; the longest quiet one first.
+ * If clients keep all connections open, each new one would be closed before its first request was read; so new ones are
+ * kept in place of idle ones unless there are many of them.
  * @param open Connections on which no request is being handled.
  * @return Index in `open`; nothing if it is empty.
  */
@@ -91,7 +96,15 @@
         return std::nullopt;
     std::vector<std::size_t> indices(open.size());
     std::iota(indices.begin(), indices.end(), 0);
-    const auto rank = [&](std::size_t i) { return std::tuple(!open[i].receiving, !open[i].served, open[i].quiet); };
+    const auto isNew
+        = [](const OpenConnection& connection) { return !connection.served && connection.quiet < firstRequestTime; };
+    const auto newOnes = static_cast<std::size_t>(std::count_if(open.begin(), open.end(), isNew));
+    const bool keepsNew = newOnes <= open.size() / openPerKeptNew;
+    const auto rank = [&](std::size_t i) {
+        const OpenConnection& connection = open[i];
+        return std::tuple(!connection.receiving, !connection.served && !isNew(connection),
+            isNew(connection) != keepsNew, connection.quiet);
+    };
     return *std::max_element(
         indices.begin(), indices.end(), [&](std::size_t a, std::size_t b) { return rank(a) < rank(b); });
 }
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -119,6 +119,7 @@
     m_reservations.clear();
     m_usableTargets.clear();
     m_runTimes = {};
+    m_runTimeEstimates = {};
     m_interference = {};
     m_reachability.clear();
     m_adviceClaims.clear();
@@ -307,6 +308,8 @@
     if (const BacklogVerdict verdict = checkBacklogFor(job, now); !verdict.accepted) {
         m_jobsRefused.add();
         m_jobsRefusedFull.add();
+        if (!job.beyondRate)
+            m_accountRates.returnToken(job.spec.account);
         LogLine(LogLevel::Info, "job_refused")
             .with("job", job.spec.id)
             .with("reason", "the service is full")
--- a/src/cell_owner_displacement.cpp
+++ b/src/cell_owner_displacement.cpp
@@ -48,22 +48,6 @@
 
     bool hasWaitingTasks(const StepState& step) { return std::any_of(step.tasks.begin(), step.tasks.end(), isWaiting); }
 
-    /** Returns the estimated run time of the steps that are not complete, along the longest chain of them. */
-    std::chrono::milliseconds remainingChain(const CellJob& job, const OccurrenceState& occurrence)
-    {
-        std::vector<std::chrono::milliseconds> ends(job.spec.steps.size());
-        std::chrono::milliseconds longest { 0 };
-        for (std::size_t i = 0; i < ends.size(); ++i) {
-            if (occurrence.steps[i].complete())
-                continue;
-            for (const std::uint32_t dependency : job.spec.steps[i].after)
-                ends[i] = std::max(ends[i], ends[dependency]);
-            ends[i] += job.spec.steps[i].estimate;
-            longest = std::max(longest, ends[i]);
-        }
-        return longest;
-    }
-
 } // namespace
 
 /**
@@ -82,7 +66,8 @@
     for (const TaskState& task : state.tasks)
         waitingSince = task.waiting() ? std::min(waitingSince, task.waitingSince) : waitingSince;
     return isDisplacementDue({ !m_config.accounts.empty(), spec.lasting, now - waitingSince,
-        job.objectiveAt() - now - remainingChain(job, occurrence), m_bounds.stopTimeout });
+        job.objectiveAt() - now - remainingWork(job, occurrence, std::chrono::milliseconds(0)).path,
+        m_bounds.stopTimeout });
 }
 
 /**
@@ -223,7 +208,7 @@
         for (const auto& [key, occupant] : target.occupants) {
             if (freesRoomSoon(occupant, m_bounds.stopTimeout, now))
                 site.room += occupant.taken;
-            if (auto run = displaceableRun(key, occupant, ready.priority, now)) {
+            if (auto run = displaceableRun(key, occupant, priorityOf(*ready.job), now)) {
                 run->index = static_cast<std::uint32_t>(runs.size());
                 site.runs.push_back(*run);
                 runs.emplace_back(&target, key);
--- a/src/cell_owner_order.cpp
+++ b/src/cell_owner_order.cpp
@@ -161,6 +161,11 @@
                 = { static_cast<double>(freeMilli) / 1000, m_load.services[queue->service].freedPerSecond };
         }
         const StepSpec& spec = step.job->spec.steps[step.step];
+        // A step whose account is at its maximum takes no room from those behind it.
+        if (!m_accountUsage.mayStart(step.job->spec.account, spec.demand * (spec.gang ? spec.tasks : 1))) {
+            step.roomSoon = false;
+            continue;
+        }
         const auto& tasks = step.job->step(step.stepKey())->tasks;
         const auto waiting
             = std::count_if(tasks.begin(), tasks.end(), [](const TaskState& task) { return task.waiting(); });
@@ -296,7 +301,7 @@
         const bool first = key.priority < queue->priority
             || (key.priority == queue->priority
                 && (job.beyondRate ? !key.worthless && (isAbove || !key.aboveShare)
-                                   : key.band <= WorkBand::InTimeAboveShare));
+                                   : key.band <= (isAbove ? WorkBand::InTimeAboveShare : WorkBand::InTime)));
         state.coresAhead += first ? backlog.cores : 0;
         state.coreSecondsAhead += first ? backlog.coreSeconds : 0;
     }
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -137,6 +137,11 @@
         const char* /*version*/, const char* data, std::size_t* size, void** state)
     {
         auto& listener = *static_cast<HttpListener*>(self);
+        // What the kernel had received before the connection was ended can still be read; its body may be incomplete.
+        const auto* open = static_cast<Connection*>(
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
+        if (open->ended)
+            return MHD_NO;
         if (!*state) {
             *state = begin(listener, connection, url, method);
             const CallPointer& call = *static_cast<CallPointer*>(*state);
--- a/src/run_time_estimate.h
+++ b/src/run_time_estimate.h
@@ -4,6 +4,7 @@
 #include "time_type.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -31,8 +32,10 @@
     struct Group {
         Moments runTime; ///< Logarithm of the run time.
         Moments error; ///< Logarithm of run time over estimate.
+        std::uint64_t lastStep = 0; ///< Number of the last step that was learned.
     };
     std::map<std::string, Group> m_groups;
+    std::uint64_t m_steps = 0;
 };
 
 } // namespace sp
--- a/src/run_time_profile.cpp
+++ b/src/run_time_profile.cpp
@@ -216,7 +216,7 @@
     const bool known = m_groups.contains(group);
     CachedOutlook& cached = m_outlooks[{ service, known ? group : std::string() }];
     if (cached.computedAt == Time {} || now - cached.computedAt >= outlookKept)
-        compute(cached, group, targets(), now);
+        compute(cached, known ? group : std::string(), targets(), now);
     return cached.outlook;
 }
 
--- a/src/work_order.cpp
+++ b/src/work_order.cpp
@@ -62,11 +62,11 @@
 /**
  * Returns the place of a step in the queue of its priority.
  *
- * Ordered by the end of the objective alone, overdue jobs would stay ahead of all new ones, so that under overload every
- * job is late. In the first two bands, jobs that have begun go first, as their whole value is gained by a part of their
- * work, then those with the least slack. In the others the value per core-second decides, which a large job has less of:
- * the least remaining work. There, a job that has begun gains a size class for each objective that has passed since its
- * submission, so that small ones don't overtake it for ever.
+ * Ordered by the end of the objective alone, overdue jobs would stay ahead of all new ones, so that under overload
+ * every job is late. In the first two bands, jobs that have begun go first, as their whole value is gained by a part of
+ * their work, then those with the least slack. In the others the value per core-second decides, which a large job has
+ * less of: the least remaining work. There, a job that has begun gains a size class for each objective that has passed
+ * since its submission, so that small ones don't overtake it for ever.
  */
 WorkRank workRank(const WorkItem& item, Time now)
 {
--- a/tests/test_account_share.cpp
+++ b/tests/test_account_share.cpp
@@ -98,6 +98,8 @@
     for (int i = 0; i < 100; ++i)
         within += rates.takeToken(AccountId("a"), now) ? 1 : 0;
     CHECK(within == 30);
+    rates.returnToken(AccountId("a")); // Of a job that was refused.
+    CHECK(rates.takeToken(AccountId("a"), now));
     CHECK(rates.takeToken(AccountId("a"), now + 500ms));
     CHECK_FALSE(rates.takeToken(AccountId("a"), now + 500ms));
 }
--- a/tests/test_byte_budget.cpp
+++ b/tests/test_byte_budget.cpp
@@ -83,3 +83,14 @@
     CHECK(connectionToEnd({ { true, false, 9s }, { false, true, 1s }, { false, true, 2s } }) == 2);
     CHECK(connectionToEnd({ { true, false, 9s }, { true, true, 1s } }) == 0);
 }
+
+// Guards against clients that keep all connections open and so lock everybody else out.
+TEST_CASE("a new connection is kept in place of an idle one, a crowd of new ones is not")
+{
+    std::vector<OpenConnection> open(7, { false, true, 5s });
+    open[3].quiet = 9s;
+    open.push_back({ false, false, 0s });
+    CHECK(connectionToEnd(open) == 3);
+    const std::vector<OpenConnection> crowd { { false, true, 5s }, { false, false, 100ms }, { false, false, 200ms } };
+    CHECK(connectionToEnd(crowd) == 2);
+}
--- a/tests/test_run_time_estimate.cpp
+++ b/tests/test_run_time_estimate.cpp
@@ -44,6 +44,17 @@
     CHECK(std::abs((halved.expected("group", 2s) - 4s).count()) < 200);
 }
 
+// Image names are chosen by clients, so that their number has no bound.
+TEST_CASE("a group that is in use is kept while many others come and go")
+{
+    RunTimeEstimates estimates;
+    for (int i = 0; i < 1000; ++i) {
+        estimates.learn("used", 1s, 10s);
+        estimates.learn("image-" + std::to_string(i), 1s, 1s);
+    }
+    CHECK(estimates.expected("used", 1s) == 10s);
+}
+
 TEST_CASE("an unknown group keeps its estimates")
 {
     RunTimeEstimates estimates;
