Fix: restarts of lasting tasks keep to the limit on each target, and go before first starts of their step

Claims for a restart were made on targets that already run as many tasks of the step as they may, so that they bound room in vain, and the claimed room went to tasks of the step that had never started.

--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -221,7 +221,12 @@
     const ImageSet conflicts = conflictsOf(job, spec, now);
     bool hasUnplaced = false;
     bool lacksRoom = false;
-    for (std::uint32_t i = 0; i < spec.tasks; ++i) {
+    std::vector<std::uint32_t> order(spec.tasks);
+    std::iota(order.begin(), order.end(), 0);
+    if (ready.restart) // The room that is claimed is meant for them.
+        std::stable_partition(
+            order.begin(), order.end(), [&](std::uint32_t i) { return mustRestart(spec, state.tasks[i]); });
+    for (const std::uint32_t i : order) {
         TaskState& task = state.tasks[i];
         if (!task.waiting())
             continue;
--- a/src/cell_owner_order.cpp
+++ b/src/cell_owner_order.cpp
@@ -32,11 +32,15 @@
 /** Returns the expected run times of a job's steps: with client accounts the learned ones, else the estimates. */
 StepRunTimes CellOwner::runTimesOf(const CellJobSpec& spec) const
 {
+    /** Longer estimates mean nothing to the order, and their sums and products would overflow. */
+    constexpr std::chrono::hours maxRunTime { 24 };
     StepRunTimes times;
-    for (const StepSpec& step : spec.steps)
-        times.push_back(m_config.accounts.empty() || step.lasting
-                ? step.estimate
-                : m_runTimeEstimates.expected(RunTimeProfile::groupOf(step, spec.queue), step.estimate));
+    for (const StepSpec& step : spec.steps) {
+        const auto time = m_config.accounts.empty() || step.lasting
+            ? step.estimate
+            : m_runTimeEstimates.expected(RunTimeProfile::groupOf(step, spec.queue), step.estimate);
+        times.push_back(std::clamp<std::chrono::milliseconds>(time, std::chrono::milliseconds(0), maxRunTime));
+    }
     return times;
 }
 
@@ -111,9 +115,14 @@
         const StepSpec& spec = step.job->spec.steps[step.step];
         const StepState& state = *step.job->step(step.stepKey());
         const QueueConfig* queue = queueOf(*step.job);
+        const auto sameStep = state.tasksByTarget();
+        const auto atLimit = [&](const CellTarget* target) {
+            const auto same = sameStep.find(target);
+            return spec.perTargetLimit > 0 && same != sameStep.end() && same->second >= spec.perTargetLimit;
+        };
         std::vector<CellTarget*> targets;
         for (CellTarget* target : usableTargets(serviceOf(*step.job), now)) {
-            if (!target->reservedFor && mayEverRun(*target, spec)
+            if (!target->reservedFor && mayEverRun(*target, spec) && !atLimit(target)
                 && (!queue || !queue->advisor || state.advice.allowed.contains(target->id())))
                 targets.push_back(target);
         }
--- a/tests/test_cell_lasting.cpp
+++ b/tests/test_cell_lasting.cpp
@@ -12,7 +12,7 @@
 struct LastingTest : LoadTest {
     int jobs = 0;
 
-    explicit LastingTest(bool withAccounts)
+    explicit LastingTest(bool withAccounts, std::uint32_t perTargetLimit = 0)
     {
         QueueConfig lasting = config.queues[0];
         lasting.id = QueueId("lasting");
@@ -32,6 +32,7 @@
         run(200ms);
         StepSpec service = step(12, 6000);
         service.lasting = true;
+        service.perTargetLimit = perTargetLimit;
         submitTo("service", QueueId("lasting"), { service });
         runAndRecord(3s);
         REQUIRE(running("service") == 12);
@@ -96,6 +97,17 @@
     }
 }
 
+// A claim on a target that may not run one more task of the step binds room there in vain.
+TEST_CASE("lasting tasks with a limit on each target are placed again within seconds in a full cell")
+{
+    for (const bool withAccounts : { false, true }) {
+        LastingTest test(withAccounts, 2);
+        test.keepFull(3s);
+        REQUIRE(test.endSome(4, EndKind::Lapsed) == 4);
+        CHECK(test.timeUntilAllRun() <= 3s);
+    }
+}
+
 TEST_CASE("lasting tasks of a lost target are placed again soon after it is known to be lost")
 {
     for (const bool withAccounts : { false, true }) {
