--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,81 +1,72 @@
-"""One small job whose times lie in the past keeps the cell from storing, and so from starting, anything else.
-
-A client gives `start_at_ms` in seconds by mistake, so that all occurrences of its job are due at once.
-"""
+"""One job whose tasks fail shuts all minions out, and the sound jobs of the cell wait beside idle minions."""
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-3"))
 from cell import BOUNDS, now, run_case  # noqa: E402
 
-ROUTES = [{"name": "orders", "host": "jobs.example", "prefix": "/orders/", "service": "svc", "target_latency_ms": 250,
-           "priority": 0, "max_attempts": 2, "slack_factor": 1.5}]
-RUNS = 100000  # Once a minute for ten weeks.
-INTERVAL_MS = 60000
-EARLY_JOBS = range(0, 8)  # Accepted before the timed job is sent.
-LATER_JOBS = range(8, 28)  # Sent after it.
+# The two classes of the site, with their `priority` and their `attempts`.
+CHECKS = {"name": "checks", "host": "jobs.example", "prefix": "/checks/", "service": "svc", "target_latency_ms": 250,
+          "priority": 0, "max_attempts": 4, "slack_factor": 1.5}
+PLANS = {**CHECKS, "name": "plans", "prefix": "/plans/", "target_latency_ms": 1200, "priority": 2, "slack_factor": 2.2}
+# One check of 24 can't be done: each run of its tasks ends `failed`.
+SOUND_CHECKS = range(23)
+SOUND_PLANS = range(8)
+CHECKS_EACH_S, PAUSE_S, PLANS_EACH_S = 0.04, 0.6, 0.1  # All within 3 s.
+BAD_JOB = "bad0000000000001"
+BAD_TASKS, BAD_CPU, BAD_RUN_S = 36, 4000, 0.4  # The class has a `width` of up to 36 and a `cpu` of up to 7,600.
+CHECK_TASKS, CHECK_CPU, CHECK_RUN_S = 2, 1000, 0.4
+PLAN_TASKS, PLAN_CPU, PLAN_RUN_S = 4, 2000, 2.0
+WATCH_S = 20.0
 IDLE_S = 3.0  # By the rule LOST.
 
 
 def job_id(number):
-    return f"{0x0c0ffee0:08x}{number:08x}"
-
-
-def order():
-    return {"spec": "order", "steps": [
-        {"task_count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 2500},
-        {"task_count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 2500, "after": [0]}]}
+    return f"{0x90000000:08x}{number:08x}"
 
 
-def tasks_of(number):
-    return [f"{job_id(number)}.0.{step}.{index}" for step in range(2) for index in range(2)]
+def body(tasks, cpu, run_s):
+    return {"spec": "work", "steps": [{"task_count": tasks, "cpu": cpu, "mem_mb": 100,
+                                       "estimate_ms": int(1000 * run_s)}]}
 
 
 async def scenario(cell):
-    await cell.start(ROUTES)
-    accepted = set()
-
-    async def hand_in(number):
-        if await cell.submit("/orders/", job_id(number), order(), {"work_s": 2.5}):
-            accepted.add(number)
-
-    await asyncio.gather(*(hand_in(number) for number in EARLY_JOBS))
-    early = len(accepted)
-    timed = {"spec": "reminder", "steps": [{"task_count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 300}],
-             "run_count": RUNS, "interval_ms": INTERVAL_MS,
-             "start_at_ms": int(time.time()) if cell.trouble else int(time.time() * 1000) + 1000}
-    cell.record("timed_job", job=job_id(1000), body=timed)
-    traffic = [asyncio.create_task(cell.submit("/orders/", job_id(1000), timed, {"work_s": 0.3}))]
-    for number in LATER_JOBS:
-        traffic.append(asyncio.create_task(hand_in(number)))
-        await asyncio.sleep(0.5)
-    await asyncio.gather(*traffic)
-    cell.record("traffic_ended", accepted_early=early, accepted_later=len(accepted) - early,
-                memory_mb=[host.memory_mb() for host in cell.hosts], ended=[host.ended for host in cell.hosts])
+    await cell.start([CHECKS, PLANS])
+    bad = {"ends": "failed"} if cell.trouble else {}
+    jobs = [("/checks/", f"{0xc4ec0000:08x}{number:08x}", (CHECK_TASKS, CHECK_CPU, CHECK_RUN_S), {})
+            for number in SOUND_CHECKS]
+    jobs.append(("/checks/", BAD_JOB, (BAD_TASKS, BAD_CPU, BAD_RUN_S), bad))
+    jobs += [("/plans/", job_id(number), (PLAN_TASKS, PLAN_CPU, PLAN_RUN_S), {}) for number in SOUND_PLANS]
+    for prefix, job, work, how in jobs:
+        if not await cell.submit(prefix, job, body(*work), {"work_s": work[2], **how}):
+            raise RuntimeError("a job was not accepted")
+        await asyncio.sleep(CHECKS_EACH_S if prefix == "/checks/" else PLANS_EACH_S)
+        if job == jobs[len(SOUND_CHECKS) - 1][1]:
+            await asyncio.sleep(PAUSE_S)
+    cell.record("traffic_ended")
     await asyncio.sleep(BOUNDS["finish_s"])
-    states = {number: await cell.call("GET", "/orders/" + job_id(number)) for number in sorted(accepted)}
-
-    idle_since = {}  # number -> time since which the job has had nothing running
-    idle_for = dict.fromkeys(accepted, 0.0)
-    ends = now() + IDLE_S + 1
-    while now() < ends:
-        in_use = sum(500 for runs in cell.running.values() for _ in runs)
-        assert in_use < cell.cpu * len(cell.minions) / 2  # The room is there, twice over.
-        for number in accepted:
-            tasks = tasks_of(number)
+    idle_since, longest = {}, dict.fromkeys(SOUND_PLANS, 0.0)
+    begun, most_used = now(), 0
+    while now() < begun + WATCH_S:
+        used = sum(cell.specs[task.split(".")[0]]["steps"][0]["cpu"] for task, runs in cell.running.items()
+                   for _ in runs)
+        most_used = max(most_used, used)
+        for number in SOUND_PLANS:
+            tasks = [f"{job_id(number)}.0.0.{index}" for index in range(PLAN_TASKS)]
             done = all(any(how == "done" for _, how in cell.ends.get(task, [])) for task in tasks)
-            if done or any(cell.running.get(task) for task in tasks):
+            if done or any(cell.running.get(task) for task in tasks) or 2 * used >= cell.cpu * len(cell.minions):
                 idle_since.pop(number, None)
-            idle_for[number] = now() - idle_since.setdefault(number, now()) if not done else 0.0
+            else:
+                longest[number] = max(longest[number], now() - idle_since.setdefault(number, now()))
         await asyncio.sleep(0.05)
-    lost = sorted(number for number, idle in idle_for.items() if idle >= IDLE_S)
-    print(f"accepted {early} jobs before the timed job and {len(accepted) - early} of {len(LATER_JOBS)} after it; "
-          f"{len(lost)} of them have work left and nothing running; memory (now, peak) in MB "
-          f"{[host.memory_mb() for host in cell.hosts]}, ended {[host.ended for host in cell.hosts]}")
-    return [f"LOST: {job_id(number)} was accepted, has had nothing running for {idle_for[number]:.1f} s while a task's "
-            f"turn has come, and is answered {states[number]}" for number in lost]
+    _, bad_state = await cell.call("GET", "/checks/" + BAD_JOB)
+    lost = [number for number, idle in longest.items() if idle >= IDLE_S]
+    print(f"{len(lost)} of {len(SOUND_PLANS)} sound plans had nothing running for {IDLE_S} s or more, {BOUNDS['finish_s']} s "
+          f"after the end of the traffic; the longest {max(longest.values()):.1f} s; at most {most_used / 1000:.0f} of "
+          f"{cell.cpu * len(cell.minions) // 1000} cores in use; the bad job is {bad_state and bad_state.get('state')}")
+    return [f"LOST: {job_id(number)} was accepted and has had nothing running for {longest[number]:.1f} s, with the cores "
+            "of all minions free" for number in lost]
 
 
 run_case(Path(__file__).parent, scenario)
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,55 +1,50 @@
-"""Tasks of seven minutes are taken for runs that stand still: stopped after three seconds, again and again, until all
-minions are shut out from new work."""
+"""After a take-over, jobs of which no task has started are no longer counted as pending."""
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-3"))
-from cell import BOUNDS, now, run_case  # noqa: E402
+from cell import BOUNDS, run_case  # noqa: E402
 
-ROUTES = [{"name": "renders", "host": "jobs.example", "prefix": "/renders/", "service": "svc", "target_latency_ms": 1200,
-           "priority": 2, "max_attempts": 2, "slack_factor": 2.2}]
+ROUTES = [{"name": "orders", "host": "jobs.example", "prefix": "/orders/", "service": "svc", "target_latency_ms": 250,
+           "priority": 0, "max_attempts": 2, "slack_factor": 1.5}]
 JOBS = range(6)
-TASKS = 8
-LONGEST_WORK_S = 54.0  # `work_ms` `max` of the site's heavy class.
-LONGER = 8  # `poison` with `how` `long`: the jobs take this many times as long.
-WATCH_S = 40.0
-IDLE_S = 3.0  # By the rule LOST.
+KINDS = ("a",) * 7 + ("z",)  # The eighth minion is the only one of its kind.
+DOWN_S = 3.5
 
 
 def job_id(number):
-    return f"{0x10419000:08x}{number:08x}"
+    return f"{0xbe9d1490:08x}{number:08x}"
 
 
 async def scenario(cell):
     await cell.start(ROUTES)
-    work_s = LONGEST_WORK_S * (LONGER if cell.trouble else 1)
-    body = {"spec": "render", "steps": [{"task_count": TASKS, "cpu": 500, "mem_mb": 100,
-                                         "estimate_ms": int(1000 * work_s)}]}
-    for number in JOBS:
-        if not await cell.submit("/renders/", job_id(number), body, {"work_s": work_s}):
-            raise RuntimeError("a job was not accepted")
-    cell.record("traffic_ended")
-    await asyncio.sleep(BOUNDS["finish_s"])
-    idle_since, longest = {}, dict.fromkeys(JOBS, 0.0)
-    ends = now() + WATCH_S
-    while now() < ends:
-        assert sum(500 for runs in cell.running.values() for _ in runs) < cell.cpu * len(cell.minions) / 2
-        for number in JOBS:
-            tasks = [f"{job_id(number)}.0.0.{index}" for index in range(TASKS)]
-            done = all(any(how == "done" for _, how in cell.ends.get(task, [])) for task in tasks)
-            if done or any(cell.running.get(task) for task in tasks):
-                idle_since.pop(number, None)
-            else:
-                longest[number] = max(longest[number], now() - idle_since.setdefault(number, now()))
-        await asyncio.sleep(0.05)
-    states = [await cell.call("GET", "/renders/" + job_id(number)) for number in JOBS]
-    stopped = sum(how == "stopped" for ends in cell.ends.values() for _, how in ends)
-    most = max((run for _, _, run, *_ in cell.starts), default=0)
-    print(f"{len(cell.starts)} starts of {len(JOBS) * TASKS} tasks, {stopped} runs stopped, highest run {most}; "
-          f"longest time without a run {max(longest.values()):.1f} s; states {[a and a.get('state') for _, a in states]}")
-    return [f"LOST: {job_id(number)} was accepted and has had nothing running for {idle:.1f} s, with all minions idle"
-            for number, idle in longest.items() if idle >= IDLE_S]
-
-
-run_case(Path(__file__).parent, scenario)
+    cell.minions[7].crash()  # Lost for good; its entry stays for three heartbeats. Also with TROUBLE=0.
+    body = {"spec": "order", "steps": [{"task_count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 300,
+                                        "requirements": "z"}]}
+    if not all(await asyncio.gather(*(cell.submit("/orders/", job_id(number), body, {"work_s": 0.3})
+                                      for number in JOBS))):
+        raise RuntimeError("a job was not accepted")
+    await asyncio.sleep(BOUNDS["visible_ms"] / 1000 + 2.5)
+    before = [await cell.call("GET", "/orders/", host=host) for host in cell.hosts]
+    if any(status != 200 or answer["pending"] < len(JOBS) / 2 for status, answer in before):
+        return [f"MIXED: {len(JOBS)} jobs were accepted and none has begun; before the kill the answers are {before}"]
+    if cell.trouble:
+        owners = [host for host in cell.hosts if await cell.owns(host)]
+        if len(owners) != 1:
+            raise RuntimeError("there is not one owner")
+        await owners[0].restart(signal.SIGKILL, pause=DOWN_S)
+    await asyncio.sleep(2 * BOUNDS["contact_ms"] / 1000)
+    after = [await cell.call("GET", "/orders/", host=host) for host in cell.hosts]
+    _, state = await cell.call("GET", "/orders/" + job_id(0))
+    print(f"pending before {[answer for _, answer in before]}, after {[answer for _, answer in after]}; "
+          f"{len(cell.starts)} starts; the first job is {state}")
+    if cell.starts:
+        raise RuntimeError("a task has started")
+    return [f"MIXED: {len(JOBS)} jobs were accepted and none has begun, {host.name} answers {answer}"
+            for host, (status, answer) in zip(cell.hosts, after)
+            if status == 200 and answer["pending"] < len(JOBS) / 2]
+
+
+run_case(Path(__file__).parent, scenario, kinds=KINDS)
--- a/review/standins-3/cell.py
+++ b/review/standins-3/cell.py
@@ -465,6 +465,13 @@
                         took_ms=int(1000 * (now() - sent)))
         return status, answer
 
+    async def owns(self, host):
+        """Whether a host owns the cell, by its page for operators."""
+        connection = Connection(host.ip, METRICS_PORT)
+        status, answer, _ = await connection.call("GET", "/status", timeout=1.0)
+        connection.close()
+        return status == 200 and bool(answer) and '"active": true' in json.dumps(answer)
+
     async def submit(self, prefix, job, body, plan, tries=4, key=None):
         """Hands a job in, and repeats it after no answer, 502 or 504, or a refusal. Returns whether it was accepted."""
         self.specs[job] = body
