--- a/review/standins-3/cell.py
+++ b/review/standins-3/cell.py
@@ -10,6 +10,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import sys
@@ -24,7 +25,6 @@
 from standins import Store  # noqa: E402
 
 FRONT_PORT, READY_PORT, PEER_PORT, STORE_PORT, ADVISOR_PORT, MINION_PORT = 8161, 8167, 7720, 8190, 8191, 8192
-METRICS_PORT = 9464  # Of the deploy file's command.
 HEARTBEAT_S = 1.5
 MEMORY_MB = 260  # Of the limits in the settings.
 RESTART_S = 1.0  # After which the platform starts a process again that it has killed.
@@ -60,7 +60,6 @@
         self.rack = f"r1-{index // 4}"
         self.kind = cell.kinds[index % len(cell.kinds)]
         self.alive = True
-        self.refuses = False  # Unhealthy: answers run-start with 503 and does nothing.
         self.sequence = 0
         self.begin_life()
 
@@ -152,9 +151,6 @@
                 if plan.get("crash_after") is not None and now() - run["at"] >= plan["crash_after"]:
                     self.crash(plan.get("back_after", 2.0))
                     break
-                if run["lasting"] and plan.get("fails_after") is not None and now() - run["at"] >= plan["fails_after"]:
-                    self.end(task, "failed")
-                    continue
                 if not run["lasting"] and run["worked"] >= plan["work_s"]:
                     if run["gang"]:
                         self.cell.gang_done(run["gang"])
@@ -189,9 +185,6 @@
 
     def start_run(self, data, clock):
         task, number = data["task"], data["run"]
-        if self.refuses:
-            self.cell.record("start_refused", minion=self.name, task=task, run=number, status=503)
-            return 503, clock, None
         self.lease = max(self.lease, min(data["deadline_ms"], self.clock() + BOUNDS["max_hold_ms"]))
         held = self.runs.get(task)
         if held and held["run"] == number:
@@ -453,7 +446,7 @@
         self.record("config", version=version, routes=[route["name"] for route in routes])
 
     async def call(self, method, path, body=None, host=None, key=None, quiet=False):
-        """One call of a client over a new connection. Status 0: no answer."""
+        """One call of a client over a new connection. Status 0 or -1: no answer."""
         host = host or random.choice([each for each in self.hosts if each.wanted] or self.hosts)
         connection = Connection(host.ip, FRONT_PORT)
         sent = now()
@@ -465,13 +458,6 @@
                         took_ms=int(1000 * (now() - sent)))
         return status, answer
 
-    async def owns(self, host):
-        """Whether a host owns the cell, by its page for operators."""
-        connection = Connection(host.ip, METRICS_PORT)
-        status, answer, _ = await connection.call("GET", "/status", timeout=1.0)
-        connection.close()
-        return status == 200 and bool(answer) and '"active": true' in json.dumps(answer)
-
     async def submit(self, prefix, job, body, plan, tries=4, key=None):
         """Hands a job in, and repeats it after no answer, 502 or 504, or a refusal. Returns whether it was accepted."""
         self.specs[job] = body
@@ -519,6 +505,8 @@
         for task in self.tasks:
             task.cancel()
         self.record("refused_for_want_of_a_ticket", starts=self.ticket_refusals)
+        if os.environ.get("KEEP") != "1":  # Settings and logs of the hosts.
+            shutil.rmtree(self.folder, ignore_errors=True)
         self.out.close()
 
 
