Fix: The failed runs of one job shut all targets out

Cause: CellTarget::runBad() counted each failed or stalled run against its target, whichever job it was of, and three in a row shut the target out. Ruled out: lack of room (no core was in use).

FailureAttribution compares the jobs that failed on a target with the targets that failed a job, so that a job counts once and one that fails everywhere shuts nothing out, and a target that fails all it runs still is.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -121,6 +121,7 @@
     m_runTimes = {};
     m_runTimeEstimates = {};
     m_interference = {};
+    m_failures = {};
     m_reachability.clear();
     m_adviceClaims.clear();
     m_restartClaims.clear();
@@ -653,6 +654,7 @@
     m_lastExpiryAt = now;
     m_unattendedTasks.set(static_cast<std::int64_t>(unattendedTasks(now)));
     m_interference.forgetUnseen(now);
+    m_failures.forgetExpired(now);
     m_interferingPairs.set(static_cast<std::int64_t>(m_interference.pairCount()));
     const auto kept = m_bounds.statusKept + m_bounds.statusKept / 4;
     for (auto it = m_jobs.begin(); it != m_jobs.end();) {
@@ -731,6 +733,8 @@
             const CellTarget& target = *it->second;
             const bool gone = !target.listed && target.occupants.empty() && target.lostRuns.empty() && target.silent()
                 && target.lapsed(now);
+            if (gone)
+                m_failures.forgetTarget(target.id());
             it = gone ? m_targets.erase(it) : std::next(it);
         }
         releaseStaleReservations(now);
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -8,6 +8,7 @@
 #include "cell_job.h"
 #include "cell_target.h"
 #include "displacement.h"
+#include "failure_attribution.h"
 #include "metrics.h"
 #include "placement.h"
 #include "record_log.h"
@@ -367,6 +368,7 @@
     void placeStep(const ReadyStep& ready, Time now);
     std::optional<SpeedPreference> speedPreference(const CellJob& job, const StepSpec& spec, Time now);
     ImageSet conflictsOf(const CellJob& job, const StepSpec& spec, Time now);
+    void attributeFailure(CellTarget& target, const CellJob& job, Time now);
     void learnRunTime(CellTarget& target, const EndRow& end, const Occupant& occupant, Time now);
     std::vector<PlacementOption> placementOptions(const ReadyStep& ready, Time now);
     static Occupant makeOccupant(const StepSpec& spec, std::uint32_t run, RunPhase phase, Time now);
@@ -444,6 +446,7 @@
     /** Claims of lasting tasks that must be placed again; determined before each placement. */
     std::map<TargetId, std::vector<AdviceClaim>> m_restartClaims;
     InterferenceProfile m_interference;
+    FailureAttribution m_failures;
     int m_displacementSearches = 0; ///< Searches for runs to displace that are left in this placement pass.
     std::map<DataCentreId, DataCentreReachability> m_reachability;
     bool m_dataCentreSuspect = false; ///< Some data centre does not answer; determined in each sweep.
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -92,7 +92,8 @@
     candidates.reserve(targets.size());
     for (std::uint32_t i = 0; i < targets.size(); ++i) {
         CellTarget* target = targets[i];
-        if (target->reservedFor && target->reservedFor->stepKey() != question.step)
+        if ((target->reservedFor && target->reservedFor->stepKey() != question.step)
+            || m_failures.isClosedTo(job.spec.id, target->id(), now))
             continue;
         AdviceCandidate candidate { i, 0, AdviceKnowledge::Unknown, 0,
             speeds ? speeds->adviceWeight(target->speed) : 1 };
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -149,7 +149,7 @@
     std::vector<PlacementOption> options;
     const auto consider = [&](CellTarget& target) {
         if (target.entry.service != service || target.reservedFor || !target.usable(now) || !dataCentreReachable(target)
-            || !mayEverRun(target, step))
+            || !mayEverRun(target, step) || m_failures.isClosedTo(job.spec.id, target.id(), now))
             return;
         const auto same = sameStep.find(&target);
         const Resources room
--- a/src/cell_owner_displacement.cpp
+++ b/src/cell_owner_displacement.cpp
@@ -91,7 +91,8 @@
             return true;
         const bool answered = advice.answered.contains(target->serial);
         if (!spec.reserved().fitsIn(target->room()) || target->reservedFor || !mayEverRun(*target, spec)
-            || (answered && !advice.allowed.contains(target->id())))
+            || (answered && !advice.allowed.contains(target->id()))
+            || m_failures.isClosedTo(ready.job->spec.id, target->id(), now))
             continue;
         const Resources room
             = target->room() - claimedRoom(target->id(), ready.stepKey(), ready.priority, ready.rank, ClaimUse::Asking);
@@ -137,7 +138,8 @@
     const auto consider = [&](CellTarget* target) {
         if (target && target->entry.service == serviceOf(job) && !target->reservedFor && target->usable(now)
             && !target->mayHaveRestarted() && dataCentreReachable(*target)
-            && mayEverRun(*target, job.spec.steps[ready.step]))
+            && mayEverRun(*target, job.spec.steps[ready.step])
+            && !m_failures.isClosedTo(job.spec.id, target->id(), now))
             targets.push_back(target);
     };
     if (queue && queue->advisor) {
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -223,7 +223,7 @@
     target.leaseAnswered = {};
     // Lease times on the former clock cannot be compared with the new one, so the longest lease is assumed.
     target.lapsesBy = std::max(target.lapsesBy, now + bySlowestClock(m_bounds.maxHold) + clockMargin);
-    target.badEnds = 0;
+    m_failures.forgetTarget(target.id());
     target.quarantinedUntil = {};
     target.lookSentAt = {};
     target.nextLookAt = now;
@@ -572,16 +572,16 @@
         task->checkpoint = end.checkpoint;
     switch (end.kind) {
     case EndKind::Done:
-        target.runDone();
+        m_failures.runDone(target.id(), job->spec.id);
         completeTask(*job, end.task, now);
         return;
     case EndKind::Failed:
-        target.runBad(now);
+        attributeFailure(target, *job, now);
         handleTaskFailure(*job, end.task, target, now);
         return;
     case EndKind::Stopped:
         if (stopReason == "stalled")
-            target.runBad(now);
+            attributeFailure(target, *job, now);
         break;
     case EndKind::Lapsed:
     case EndKind::Broken:
@@ -591,6 +591,23 @@
     requeue(*job, end.task, now);
 }
 
+/** Finds out whose fault a failed run is, and shuts targets out or lets them in accordingly. */
+void CellOwner::attributeFailure(CellTarget& target, const CellJob& job, Time now)
+{
+    const ServiceId& service = target.entry.service;
+    const auto targets = static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(),
+        [&](const auto& item) { return item.second->listed && item.second->entry.service == service; }));
+    for (const auto& [id, until] : m_failures.runFailed(target.id(), service, job.spec.id, targets, now)) {
+        if (CellTarget* changed = findTarget(id))
+            changed->quarantinedUntil = until;
+        LogLine(LogLevel::Warning, until > now ? "target_shut_out" : "target_let_in")
+            .with("target", id)
+            .with("job", job.spec.id)
+            .with("for_ms", until > now ? toMs(until - now) : 0)
+            .with("reason", until > now ? "runs of several jobs failed there" : "the job fails on other targets too");
+    }
+}
+
 /** Lets the run-time profile learn from a run that is done, unless something else than its target determined its time.
  */
 void CellOwner::learnRunTime(CellTarget& target, const EndRow& end, const Occupant& occupant, Time now)
--- a/src/cell_target.cpp
+++ b/src/cell_target.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-    /** On a target without a fault three runs in a row rarely fail. */
-    constexpr int failuresBeforeQuarantine = 3;
-    constexpr std::chrono::seconds firstQuarantine { 3 }; ///< Doubles with each consecutive quarantine.
-    constexpr int maxQuarantineDoublings = 2; ///< Limits a quarantine to 12 s, after which the target is tried again.
     /** A clock reading is older than its answer, at most by this, also on a loaded host. */
     constexpr std::chrono::milliseconds maxReadingAge { 1000 };
 
@@ -139,21 +135,4 @@
         && !silent() && now >= quarantinedUntil && now >= refusedUntil;
 }
 
-/** Records a successful run, which resets the failure counts. */
-void CellTarget::runDone()
-{
-    badEnds = 0;
-    quarantines = 0;
-}
-
-/** Records a run that failed or made no progress. Several in a row put the target into quarantine. */
-void CellTarget::runBad(Time now)
-{
-    if (++badEnds < failuresBeforeQuarantine)
-        return;
-    badEnds = failuresBeforeQuarantine - 1; // One more failure after the quarantine starts the next one.
-    quarantinedUntil = now + firstQuarantine * (1 << std::min(quarantines, maxQuarantineDoublings));
-    ++quarantines;
-}
-
 } // namespace sp
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -122,9 +122,7 @@
     std::uint64_t endsAcknowledged = 0; ///< Highest sequence number whose acknowledgement the target has answered.
 
     // Health.
-    int badEnds = 0; ///< Consecutive runs that failed or made no progress.
-    int quarantines = 0; ///< Consecutive quarantines without a successful run in between.
-    Time quarantinedUntil {}; ///< No task is placed on the target before this time.
+    Time quarantinedUntil {}; ///< No task is placed on the target before this time, as FailureAttribution decided.
     Time refusedUntil {}; ///< Back-off after a rejected start: no task is placed on the target before this time.
     double slowness = 1; ///< Ratio of observed to estimated run time, relative to other targets.
     TargetSpeed speed; ///< What the run-time profile has learned of the target.
@@ -165,8 +163,6 @@
     /** Returns whether the target has left several consecutive orders unanswered. */
     bool silent() const { return unanswered >= silentAfterCalls; }
     bool usable(Time now) const;
-    void runDone();
-    void runBad(Time now);
     /** Returns the sequence number up to which the effects of all ends are stored. */
     std::uint64_t endsSaved() const { return endsUnsaved.empty() ? endsSeen : *endsUnsaved.begin() - 1; }
     bool mayAcknowledgeEnds() const;
