Fix: One job with overdue occurrences kept the cell from storing anything

Cause: all due occurrences began in one pass, so that the record outgrew the store, and RecordLog took the refusal (400) for a busy store and repeated the batch with the records of all other jobs in it. Ruled out: a store under load.

Occurrences without value begin only as far as their job needs to catch up, others as far as the record can name their tasks. Batches that are refused for their contents are written record by record, so that only the job at fault waits.

--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -3,6 +3,7 @@
 #include "proto/cell.pb.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace sp {
 
@@ -69,6 +70,12 @@
     return counts;
 }
 
+std::size_t CellJob::tasksPerOccurrence() const
+{
+    return std::accumulate(spec.steps.begin(), spec.steps.end(), std::size_t { 0 },
+        [](std::size_t sum, const StepSpec& step) { return sum + step.tasks; });
+}
+
 /** Returns the state of an occurrence and creates it if it does not exist yet. */
 OccurrenceState& CellJob::beginOccurrence(std::uint32_t number)
 {
--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -118,6 +118,9 @@
     // State of writing the job's record and specification to the store.
     Time saveNotBefore {}; ///< The first record is delayed until the first placement, at most to this time; unset for
                            ///< no delay.
+    /** The store refused the record for its contents, so that no further task is placed until it is saved. */
+    bool recordRejected = false;
+    bool saveAlone = false; ///< The record is written by itself, as the store refused a batch with it.
     bool dirty = false; ///< Changed since the record was last written.
     bool writing = false; ///< A write of the record is in progress.
     bool specStored = false;
@@ -132,6 +135,7 @@
      * Moved back to onSaved if the record was not saved. */
     std::vector<std::function<void(bool saved)>> onWritten;
 
+    std::size_t tasksPerOccurrence() const;
     /** Returns the number of times that the steps are run. */
     std::uint32_t occurrenceCount() const { return spec.schedule.occurrences ? spec.schedule.occurrences : 1; }
     /** Returns whether the occurrences of the job are scheduled at calendar times. */
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -2,6 +2,7 @@
 
 #include "fnv_hash_func.h"
 #include "log_line.h"
+#include "occurrence_pacing.h"
 
 #include <algorithm>
 #include <sstream>
@@ -369,8 +370,15 @@
 void CellOwner::beginDueOccurrences(CellJob& job, Time now)
 {
     const CalendarTime calendar = m_hooks.calendar();
+    const OccurrenceLimits limits = occurrenceLimits(m_bounds.valueBytes);
     while (job.occurrencesBegun < job.occurrenceCount() && job.dueAt(job.occurrencesBegun) <= calendar) {
         const std::uint32_t number = job.occurrencesBegun;
+        const std::size_t tasksEach = job.tasksPerOccurrence();
+        const auto path = longestChain(job.spec.steps, job.runTimes, std::chrono::milliseconds(0));
+        if (!mayBeginOccurrence({ job.occurrences.size() * tasksEach, tasksEach, path, job.spec.schedule.interval,
+                                    calendar - job.dueAt(number), job.objective * lateObjectiveFactor },
+                limits))
+            return;
         LogLine(LogLevel::Info, "occurrence_due").with("job", job.spec.id).with("occurrence", number);
         markReadySteps(job, job.beginOccurrence(number), now);
         m_dispatchDue = true;
@@ -535,8 +543,11 @@
 {
     std::vector<StoreWrite> writes;
     RecordBatch& batch = m_batches.at(lane);
+    std::size_t bytes = 0;
+    bool alone = false;
     const auto ready = [&](const CellJob* job) {
-        return !job->writing && job->saveNotBefore <= m_eventTime && writes.size() + maxWritesPerJob <= limit;
+        return !job->writing && job->saveNotBefore <= m_eventTime && writes.size() + maxWritesPerJob <= limit && !alone
+            && bytes <= m_bounds.valueBytes && (!job->saveAlone || writes.empty());
     };
     std::vector<CellJob*> waiting;
     bool more = false;
@@ -556,13 +567,16 @@
         noteAccountState(*job);
         const std::string& id = job->spec.id.value;
         writes.push_back({ StoreWrite::Kind::Put, CellKeys::jobs + id, encodeJobRecord(*job), {} });
+        alone = job->saveAlone;
+        bytes += writes.back().value.size();
         if (!job->specStored)
             writes.push_back({ StoreWrite::Kind::Put, CellKeys::specs + id, encodeJobSpec(job->spec), {} });
         else if (isFinal(job->state) && !job->specRemoved)
             writes.push_back({ StoreWrite::Kind::Delete, CellKeys::specs + id, {}, {} });
     }
     m_dirtyJobs = std::move(waiting);
-    for (std::size_t i = 0; i < maxRemovalsPerBatch && !m_recordRemovals.empty() && writes.size() < limit; ++i) {
+    for (std::size_t i = 0; i < maxRemovalsPerBatch && !alone && !m_recordRemovals.empty() && writes.size() < limit;
+         ++i) {
         writes.push_back({ StoreWrite::Kind::Delete, m_recordRemovals.back(), {}, {} });
         batch.removals.push_back(std::move(m_recordRemovals.back()));
         m_recordRemovals.pop_back();
@@ -580,22 +594,30 @@
 {
     m_eventTime = now;
     RecordBatch batch = std::exchange(m_batches.at(lane), {});
-    if (outcome == BatchOutcome::NotSaved)
+    const bool notSaved = outcome == BatchOutcome::NotSaved || outcome == BatchOutcome::Rejected;
+    if (notSaved)
         m_recordRemovals.insert(m_recordRemovals.end(), batch.removals.begin(), batch.removals.end());
     for (CellJob* job : batch.jobs) {
         job->writing = false;
         if (job->dirty) // The job changed during the write; its next record had to wait.
             m_hooks.flush(now);
-        if (outcome == BatchOutcome::NotSaved) {
+        if (notSaved) {
             job->onSaved.insert(job->onSaved.begin(), std::make_move_iterator(job->onWritten.begin()),
                 std::make_move_iterator(job->onWritten.end()));
             job->onWritten.clear();
             if (!std::exchange(job->dirty, true))
                 m_dirtyJobs.push_back(job);
+            if (outcome == BatchOutcome::Rejected && !std::exchange(job->saveAlone, true))
+                m_hooks.flush(now);
+            else if (outcome == BatchOutcome::Rejected)
+                recordRejected(*job, now);
             continue;
         }
         const bool saved = outcome == BatchOutcome::Saved;
         if (saved) {
+            job->saveAlone = false;
+            if (std::exchange(job->recordRejected, false))
+                LogLine(LogLevel::Info, "record_accepted").with("job", job->spec.id);
             if (!std::exchange(job->specStored, true)) {
                 m_jobsAccepted.add();
                 m_acceptSeconds.record(now - job->submittedAt);
@@ -623,25 +645,61 @@
     std::vector<CellJob*> unsaved;
     std::copy_if(m_dirtyJobs.begin(), m_dirtyJobs.end(), std::back_inserter(unsaved),
         [](const CellJob* job) { return !job->stored && !job->writing; });
-    for (CellJob* job : unsaved) {
-        const JobId id = job->spec.id;
-        LogLine(LogLevel::Info, "job_withdrawn")
-            .with("job", id)
-            .with("age_ms", toMs(now - job->submittedAt))
-            .with("reason", "the store does not answer");
-        m_jobsRefused.add();
-        releaseTasks(*job, "withdrawn", now);
-        for (const auto& effect : std::exchange(job->onSaved, {}))
-            effect(false);
-        std::erase(m_dirtyJobs, job);
-        std::erase(m_open, job);
-        m_openJobs.set(static_cast<std::int64_t>(m_open.size()));
-        const auto submitters = m_pendingReplies.extract(id);
-        m_jobs.erase(id);
-        if (submitters.empty())
-            continue;
-        for (const JobReply& reply : submitters.mapped())
-            reply({ JobAnswer::Kind::Refused, stalledStoreRetry, "the store does not answer" });
+    for (CellJob* job : unsaved)
+        withdrawJob(*job, { JobAnswer::Kind::Refused, stalledStoreRetry, "the store does not answer" }, now);
+}
+
+/** Refuses a submission whose record was never written, and forgets its job. */
+void CellOwner::withdrawJob(CellJob& job, const JobAnswer& answer, Time now)
+{
+    const JobId id = job.spec.id;
+    LogLine(LogLevel::Info, "job_withdrawn")
+        .with("job", id)
+        .with("age_ms", toMs(now - job.submittedAt))
+        .with("reason", answer.reason);
+    m_jobsRefused.add();
+    releaseTasks(job, "withdrawn", now);
+    for (const auto& effect : std::exchange(job.onSaved, {}))
+        effect(false);
+    std::erase(m_dirtyJobs, &job);
+    std::erase(m_open, &job);
+    m_openJobs.set(static_cast<std::int64_t>(m_open.size()));
+    const auto submitters = m_pendingReplies.extract(id);
+    m_jobs.erase(id);
+    if (submitters.empty())
+        return;
+    for (const JobReply& reply : submitters.mapped())
+        reply(JobAnswer(answer));
+}
+
+/**
+ * Handles a record that the store refuses for its contents, by itself as well. A submission is refused. A job that was
+ * accepted keeps its former record and its runs, and its record is tried again as they end; tasks that wait for it give
+ * the room on their targets back.
+ */
+void CellOwner::recordRejected(CellJob& job, Time now)
+{
+    constexpr std::chrono::milliseconds retryDelay { 1000 }; ///< Runs end within seconds, and the record shrinks.
+    if (!job.stored) {
+        withdrawJob(job, { JobAnswer::Kind::Refused, unplaceableJobRetry, "the store can't hold the job" }, now);
+        return;
+    }
+    if (!std::exchange(job.recordRejected, true))
+        LogLine(LogLevel::Error, "record_rejected")
+            .with("job", job.spec.id)
+            .with("occurrences", job.occurrences.size());
+    job.saveNotBefore = now + retryDelay;
+    m_hooks.flush(job.saveNotBefore);
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            for (std::uint32_t i = 0; i < occurrence.steps[s].tasks.size(); ++i) {
+                const CellTaskKey key { job.spec.id, number, s, i };
+                CellTarget* target = occurrence.steps[s].tasks[i].target;
+                const auto run = target ? target->occupants.find(key) : decltype(target->occupants.end()) {};
+                if (target && run != target->occupants.end() && run->second.phase == RunPhase::Recording)
+                    releaseRun(*target, key, "the store refuses the job's record", now);
+            }
+        }
     }
 }
 
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -40,6 +40,7 @@
     /** Shortest time that a draining target stays, unless its entry gives another. */
     std::chrono::milliseconds drain { 2000 };
     RateTolerance rateTolerance; ///< Jobs that an account may submit beyond its mean rate before they count as excess.
+    std::size_t valueBytes = std::size_t { 1 } << 20U; ///< Largest value that the store accepts.
     /** Target entries that lapsed during a store outage are registered again within this time. */
     std::chrono::milliseconds listSettled { 2000 };
 };
@@ -257,6 +258,8 @@
     void markDirty(CellJob& job, Time now, std::chrono::milliseconds within);
     void runWhenSaved(CellJob& job, std::function<void(bool)>&& effect);
     void withdrawUnsavedJobs(Time now);
+    void withdrawJob(CellJob& job, const JobAnswer& answer, Time now);
+    void recordRejected(CellJob& job, Time now);
     void releaseTasks(CellJob& job, const char* reason, Time now);
 
     // Jobs and tasks.
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -1,6 +1,7 @@
 #include "cell_owner.h"
 
 #include "log_line.h"
+#include "occurrence_pacing.h"
 
 #include <algorithm>
 #include <numeric>
@@ -91,6 +92,8 @@
 {
     std::vector<ReadyStep> ready;
     for (CellJob* job : m_open) {
+        if (job->recordRejected) // No run of it could be recorded.
+            continue;
         const int priority = priorityOf(*job);
         for (auto& [number, occurrence] : job->occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
@@ -219,6 +222,9 @@
     }
     const auto speeds = options.empty() ? std::nullopt : speedPreference(job, spec, now);
     const ImageSet conflicts = conflictsOf(job, spec, now);
+    const std::size_t mostRuns = occurrenceLimits(m_bounds.valueBytes).openTasks;
+    auto runs = static_cast<std::size_t>(
+        std::count_if(state.tasks.begin(), state.tasks.end(), [](const TaskState& task) { return task.target; }));
     bool hasUnplaced = false;
     bool lacksRoom = false;
     std::vector<std::uint32_t> order(spec.tasks);
@@ -230,13 +236,14 @@
         TaskState& task = state.tasks[i];
         if (!task.waiting())
             continue;
-        if (!withinQuota(job, spec, 1, now)) { // Advice would not help.
+        if (runs >= mostRuns || !withinQuota(job, spec, 1, now)) { // Advice would not help.
             hasUnplaced = false;
             break;
         }
         if (const auto alone = task.suspect ? placeAlone(ready, i, options, now) : AlonePlacement::Impossible;
             alone != AlonePlacement::Impossible) {
             hasUnplaced |= alone == AlonePlacement::Waiting;
+            runs += alone == AlonePlacement::Placed ? 1 : 0;
             continue;
         }
         PlacementOption* option
@@ -251,6 +258,7 @@
         if (speeds && speeds->tooSlow(option->target->speed))
             m_slowPlacements.add();
         assignTask(job, ready.taskKey(i), *option->target, now);
+        ++runs;
     }
     if (hasUnplaced)
         requestAdvice(ready, now);
--- a/src/record_log.cpp
+++ b/src/record_log.cpp
@@ -207,6 +207,13 @@
         m_hooks.decided(laneIndex, BatchOutcome::Saved);
         return;
     }
+    if (reply.status == StoreStatus::Invalid) { // An earlier attempt was refused as well, if it was executed at all.
+        lane.unresolved = false;
+        lane.batch.clear();
+        m_hooks.decided(laneIndex, BatchOutcome::Rejected);
+        requestFlush(now + firstRetryDelay);
+        return;
+    }
     lane.maybeWritten |= reply.status == StoreStatus::Lost;
     m_lastFailureAt = now;
     const auto retryDelay = std::min(maxRetryDelay, firstRetryDelay * (1 << std::min(lane.failures, 8)));
--- a/src/record_log.h
+++ b/src/record_log.h
@@ -15,6 +15,7 @@
 enum class BatchOutcome : std::uint8_t {
     Saved,
     NotSaved, ///< Known not to be written.
+    Rejected, ///< Not written, and refused for its contents: some record of the batch can never be written as it is.
     Unknown, ///< The ownership ended before the store answered.
 };
 
--- a/src/store_type.h
+++ b/src/store_type.h
@@ -82,7 +82,8 @@
     Ok,
     CompareFailed, ///< A condition did not hold; nothing was written.
     LeaseNotFound, ///< The lease has run out.
-    Refused, ///< The store refused the call (rate limit, size) or was not reached: it had no effect.
+    Refused, ///< The store refused the call for now (rate limit, load) or was not reached: it had no effect.
+    Invalid, ///< The store refuses the call for its contents, such as a value that is too large: it had no effect.
     Lost, ///< No answer: it may have had its effect.
 };
 
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -33,6 +33,7 @@
     bool storeUp = true;
     bool storeRefuses = false; ///< While the store is down, it rejects transactions, so that their outcome is certain.
     Duration storeDelay { 4ms }; ///< Duration of a transaction.
+    std::size_t storeValueBytes = std::size_t { 1 } << 20U; ///< The store refuses larger values for good.
     Time storeHeardAt {}; ///< Time of the last answer from the store.
     int loseEveryNthStoreAnswer = 0; ///< One in this many transactions is carried out without an answer; 0 for none.
     int loseStoreAnswers = 0; ///< Number of transactions that will be carried out without an answer.
@@ -449,6 +450,12 @@
                 return;
             }
             storeHeardAt = now;
+            if (std::any_of(txn.writes.begin(), txn.writes.end(),
+                    [this](const StoreWrite& write) { return write.value.size() > storeValueBytes; })) {
+                reply.status = StoreStatus::Invalid;
+                log->answered(lane, reply, now);
+                return;
+            }
             bool comparesMatch = true;
             for (const StoreCompare& compare : txn.compares) {
                 const auto it = store.find(compare.key);
--- a/tests/test_cell_odd_jobs.cpp
+++ b/tests/test_cell_odd_jobs.cpp
@@ -24,6 +24,29 @@
         submitTo(id, QueueId("q"), { step(tasks, cores) });
     }
 
+    /** Submits a job with many occurrences, all of which have been due for long. */
+    void submitOverdue(const std::string& id, std::uint32_t tasks, std::chrono::milliseconds interval)
+    {
+        CellJobSpec spec;
+        spec.id = JobId(id);
+        spec.queue = QueueId("q");
+        spec.service = ServiceId("s");
+        spec.payload = "payload";
+        spec.steps = { step(tasks, 500) };
+        spec.schedule = { CalendarTime(std::chrono::seconds(1)) - 100000 * interval, interval, 100000 };
+        submittedAt[id] = now;
+        owner->submit(std::move(spec), now, [this, id](JobAnswer&& answer) { answers[JobId(id)] = answer.kind; });
+    }
+
+    /** Returns the size of the largest record in the store. */
+    std::size_t largestRecord() const
+    {
+        std::size_t largest = 0;
+        for (const auto& [key, item] : store)
+            largest = std::max(largest, item.value.size());
+        return largest;
+    }
+
     /** Submits ordinary jobs of four tasks, one each 200 ms. */
     void submitGood(int count)
     {
@@ -106,3 +129,90 @@
     CHECK(wasted < starts.size() / 6);
     CHECK(violations == std::vector<std::string> {});
 }
+
+// Guards against LOST: one job with overdue times made a record that the store refuses, and no other was saved after
+// it.
+TEST_CASE_FIXTURE(OddJobTest, "a job with many overdue occurrences keeps no other job from being stored and started")
+{
+    std::uint32_t tasks = 1;
+    std::chrono::milliseconds interval { 60000 };
+    bool takesOver = false;
+    SUBCASE("one task each") { }
+    SUBCASE("many tasks each") { tasks = 48; }
+    SUBCASE("all due at the same time") { interval = 0ms; }
+    SUBCASE("under new owners") { takesOver = true; }
+    lengthOf = [](const CellTaskKey& key) { return isBad(key) ? 300ms : Duration(600ms); };
+    submitGood(4);
+    submitOverdue("bad", tasks, interval);
+    for (int i = 0; i < 6; ++i) {
+        submitGood(5);
+        CHECK(2 * running("bad") < 8 * 16000 / 500); // No more than half of the targets.
+        if (takesOver)
+            takeOver();
+        runAndRecord(500ms);
+    }
+    runAndRecord(3s);
+    CHECK(answers[JobId("bad")] == JobAnswer::Kind::Ok);
+    CHECK(state("bad") == "running");
+    CHECK(shareWithin("good", takesOver ? 6s : 2500ms) == 1);
+    CHECK(largestRecord() < 100000);
+    CHECK(violations == std::vector<std::string> {});
+}
+
+TEST_CASE_FIXTURE(OddJobTest, "a job that the store can't hold is refused, and others are stored beside it")
+{
+    storeValueBytes = 4000;
+    lengthOf = [](const CellTaskKey&) { return Duration(600ms); };
+    submitGood(2);
+    for (int i = 0; i < 5; ++i) {
+        submitTasks("bad" + std::to_string(i), 5000, 100);
+        submitGood(2);
+    }
+    runAndRecord(3s);
+    for (int i = 0; i < 5; ++i) {
+        CHECK(answers[JobId("bad" + std::to_string(i))] == JobAnswer::Kind::Refused);
+        CHECK(startsOf("bad" + std::to_string(i)) == 0);
+    }
+    CHECK(shareWithin("good", 2500ms) == 1);
+    CHECK(violations == std::vector<std::string> {});
+}
+
+TEST_CASE_FIXTURE(OddJobTest, "a job whose record would outgrow the store runs as far as the record can hold it")
+{
+    storeValueBytes = 3000;
+    SUBCASE("the size of a value is known")
+    {
+        bounds.valueBytes = storeValueBytes;
+        takeOver();
+    }
+    SUBCASE("the store accepts less than it says") { }
+    lengthOf = [](const CellTaskKey&) { return Duration(600ms); };
+    submitGood(2);
+    submitTasks("bad", 200, 500);
+    submitGood(30);
+    runAndRecord(20s);
+    CHECK(shareWithin("good", 2500ms) == 1);
+    if (bounds.valueBytes == storeValueBytes) {
+        CHECK(answers[JobId("bad")] == JobAnswer::Kind::Ok);
+        CHECK(state("bad") == "completed");
+    }
+    CHECK(violations == std::vector<std::string> {});
+}
+
+TEST_CASE_FIXTURE(OddJobTest, "a stored job whose record the store refuses waits, and no other job does")
+{
+    storeValueBytes = 1500; // The first step fits into the record, the runs of the second one do not.
+    lengthOf = [](const CellTaskKey&) { return Duration(600ms); };
+    StepSpec wide = step(200, 500);
+    wide.after = { 0 };
+    submitTo("bad", QueueId("q"), { step(1), wide });
+    submitGood(10);
+    takeOver();
+    run(1s);
+    submitGood(30);
+    runAndRecord(3s);
+    CHECK(answers[JobId("bad")] == JobAnswer::Kind::Ok);
+    CHECK(state("bad") == "running");
+    CHECK(shareWithin("good", 2500ms) == 1);
+    CHECK(violations == std::vector<std::string> {});
+}
--- a/tests/test_record_log.cpp
+++ b/tests/test_record_log.cpp
@@ -100,6 +100,25 @@
     CHECK_FALSE(log.stalled(now + 1ms, now + 1ms)); // The store has answered another call since.
 }
 
+// Guards against LOST: a batch that the store refused for its contents was written again and again.
+TEST_CASE_FIXTURE(Fixture, "a batch that the store refuses for its contents is told from one that it is too busy for")
+{
+    SUBCASE("at the first attempt") { }
+    SUBCASE("after a lost reply")
+    {
+        answer(StoreStatus::Lost);
+        now += 1s;
+        log.tick(now);
+    }
+    answer(StoreStatus::Invalid);
+    CHECK(outcomes == std::vector { BatchOutcome::Rejected });
+    CHECK_FALSE(log.stalled(now, now + 1ms)); // Other records can be saved.
+    now += 20ms;
+    write("other");
+    CHECK(sent.back().writes.front().key == "other");
+    CHECK(sent.back().compares[1].modRevision == Revision(10));
+}
+
 TEST_CASE_FIXTURE(Fixture, "a batch that is refused after a lost reply is not returned, since it may have been written")
 {
     answer(StoreStatus::Lost);
