Fix: The tasks of one crashed target held an idle target each until they ended

Cause: each task that was started just before the crash became a suspect and held an idle target for as long as it ran; neither the number of these targets nor the time was bounded. Ruled out: lack of room or of tickets.

Evidence: test_cell_odd_jobs on fails in four of four forms (0 to 25% of the later jobs in time), also with smaller tasks, two crashes and a new owner.

Suspects hold one target in four at most, each for the first two seconds of a run, in which the crash that made it a suspect had come.

--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -361,6 +361,8 @@
     };
     AlonePlacement placeAlone(
         const ReadyStep& ready, std::uint32_t index, std::vector<PlacementOption>& options, Time now);
+    std::size_t targetsHeld(const ServiceId& service);
+    void clearSuspect(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
     void reserve(CellTarget& target, const CellTaskKey& key);
     CellTarget* reserveTarget(const ReadyStep& ready, const CellTaskKey& key, Time now);
     void releaseStaleReservations(Time now);
--- a/src/cell_owner_crashes.cpp
+++ b/src/cell_owner_crashes.cpp
@@ -1,4 +1,5 @@
 #include "cell_owner.h"
+#include "crash_suspect.h"
 
 #include "log_line.h"
 
@@ -15,16 +16,7 @@
     constexpr std::chrono::milliseconds startSurvived { 300 };
     /** A run of this age is no likelier to have crashed its target than any other cause. */
     constexpr std::chrono::seconds maxAgeAtCrash { 10 };
-    /** Crashes while the task certainly ran and had the target for itself. */
-    constexpr std::uint32_t aloneCrashesForVerdict = 2;
-    /** Whatever ran beside the task. Bounds the harm of a task that crashes its targets only after a while. */
-    constexpr std::uint32_t maxCrashes = 4;
-    constexpr std::uint32_t maxGangCrashes
-        = 3; ///< Members of a gang run beside each other, so none gets a target alone.
-    /** Afterwards the task is placed beside others, as its job would end too late. */
-    constexpr std::chrono::milliseconds maxWaitForReservation { 1500 };
-    constexpr std::size_t targetsPerReservation = 16; ///< Limits the capacity that is held back.
-    constexpr std::chrono::seconds lastingRunProven { 2 }; ///< A lasting task shares its target again after this.
+    constexpr std::size_t targetsPerReservation = 16; ///< Limits the busy targets that are held back.
     constexpr std::chrono::seconds lostRunMemory { 60 }; ///< A crashed target is back within some seconds.
 
 } // namespace
@@ -110,9 +102,9 @@
 
 /**
  * Counts the crash of a target for a task that was at work there. Most such tasks only had bad luck. One that was
- * started just before the crash, or was hit before, is a suspect: its next run gets a target for itself. If two such
- * targets crash too, the task is the cause, and its job fails, as each further run would crash a target with all the
- * work on it.
+ * started just before the crash, or was hit before, is a suspect: its next run has a target for itself at first. If
+ * such targets crash too, the task is the cause, and its job fails, as each further run would crash a target with all
+ * the work on it.
  */
 void CellOwner::countCrash(const CellTarget& target, const LostRun& run, Time now)
 {
@@ -140,16 +132,13 @@
     if (evidence == CrashEvidence::None)
         return;
     m_crashesCounted.add();
-    const bool gang = findStepSpec(run.task)->gang;
-    const bool guilty = task->crashesAlone >= aloneCrashesForVerdict;
-    if (!guilty && task->crashes < (gang ? maxGangCrashes : maxCrashes))
+    if (!crashesTargets({ task->crashes, task->crashesAlone, findStepSpec(run.task)->gang }))
         return;
     m_tasksGivenUp.add();
     LogLine(LogLevel::Warning, "task_given_up")
         .with("task", taskText(run.task))
         .with("crashes", task->crashes)
-        .with("crashes_alone", task->crashesAlone)
-        .with("reason", guilty ? "crashed targets that it had for itself" : "too many targets crashed under it");
+        .with("crashes_alone", task->crashesAlone);
     finishJob(*job, JobState::Failed, now);
 }
 
@@ -192,11 +181,13 @@
     const StepSpec& spec = job.spec.steps[ready.step];
     const StepAdvice& advice = job.step(ready.stepKey())->advice;
     const QueueConfig* queue = queueOf(job);
-    if (now - job.task(key)->waitingSince > maxWaitForReservation)
+    if (now - job.task(key)->waitingSince > longestWaitForTarget(job.task(key)->crashes))
         return AlonePlacement::Impossible;
     const auto reservation = m_reservations.find(key);
     CellTarget* target = reservation == m_reservations.end() ? nullptr : findTarget(reservation->second);
     if (!target || target->reservedFor != key || !target->usable(now)) {
+        if (targetsHeld(serviceOf(job)) >= mostTargetsHeld(usableTargets(serviceOf(job), now).size()))
+            return AlonePlacement::Waiting;
         std::vector<PlacementOption> idle;
         std::copy_if(options.begin(), options.end(), std::back_inserter(idle),
             [](const PlacementOption& option) { return option.target->occupants.empty(); });
@@ -216,6 +207,35 @@
     return AlonePlacement::Placed;
 }
 
+/** Returns how many targets of a service are held for suspects. */
+std::size_t CellOwner::targetsHeld(const ServiceId& service)
+{
+    return static_cast<std::size_t>(std::count_if(m_reservations.begin(), m_reservations.end(), [&](const auto& item) {
+        const CellTarget* target = findTarget(item.second);
+        return target && target->reservedFor == item.first && target->entry.service == service;
+    }));
+}
+
+/** Lets others join a suspect on its target once its run has lasted there by itself. */
+void CellOwner::clearSuspect(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now)
+{
+    CellJob* job = findOpenJob(key.job);
+    TaskState* task = job ? job->task(key) : nullptr;
+    if (!occupant.alone || occupant.phase != RunPhase::Running || !isCleared(occupant.startedAt, target.heardAt))
+        return;
+    occupant.alone = false;
+    if (!task || task->run != occupant.run)
+        return;
+    task->alone = false;
+    task->suspect = false;
+    markDirty(*job, now, lazySaveDelay);
+    LogLine(LogLevel::Info, "suspect_cleared")
+        .with("task", taskText(key))
+        .with("run", occupant.run)
+        .with("target", target.id())
+        .with("crashes", task->crashes);
+}
+
 void CellOwner::reserve(CellTarget& target, const CellTaskKey& key)
 {
     if (const auto former = m_reservations.find(key); former != m_reservations.end()) {
@@ -254,7 +274,7 @@
     return best;
 }
 
-/** Ends reservations that no task needs any more. A lasting task shares its target again once it is proven. */
+/** Ends reservations that no task needs any more. */
 void CellOwner::releaseStaleReservations(Time now)
 {
     for (auto it = m_reservations.begin(); it != m_reservations.end();) {
@@ -264,14 +284,8 @@
         const bool held = target && target->reservedFor == key;
         const auto run = held ? target->occupants.find(key) : decltype(target->occupants.end()) {};
         const bool running = held && run != target->occupants.end();
-        if (running && task && run->second.lasting && run->second.phase == RunPhase::Running
-            && target->heardAt - run->second.startedAt > lastingRunProven) {
-            run->second.alone = false;
-            task->alone = false;
-            task->suspect = false;
-        }
         const bool waiting = task && task->waiting() && task->suspect && target && target->usable(now)
-            && now - task->waitingSince <= maxWaitForReservation
+            && now - task->waitingSince <= longestWaitForTarget(task->crashes)
             && m_accountUsage.mayStart(findJob(key.job)->spec.account, findStepSpec(key)->demand);
         if (held && (running ? run->second.alone : waiting)) {
             ++it;
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -232,6 +232,9 @@
     if (ready.restart) // The room that is claimed is meant for them.
         std::stable_partition(
             order.begin(), order.end(), [&](std::uint32_t i) { return mustRestart(spec, state.tasks[i]); });
+    const auto crashes = [&](std::uint32_t i) { return state.tasks[i].suspect ? state.tasks[i].crashes : 0; };
+    std::stable_sort( // The likeliest suspects get a target for themselves.
+        order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) { return crashes(a) > crashes(b); });
     for (const std::uint32_t i : order) {
         TaskState& task = state.tasks[i];
         if (!task.waiting())
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -1,4 +1,5 @@
 #include "cell_owner.h"
+#include "crash_suspect.h"
 
 #include "log_line.h"
 #include "tail_guard.h"
@@ -12,6 +13,8 @@
 
     /** Percentage of the longest lease; a shorter lease lets runs on a silent target be placed again sooner. */
     constexpr int leasePercent = 60;
+    /** A report at the very end of the time would not clear a suspect yet. */
+    constexpr std::chrono::milliseconds clearingMargin { 20 };
     /** Covers answers in flight and rounding of clock readings. */
     constexpr std::chrono::milliseconds clockMargin { 300 };
     /** An owner knows of a restart within 3 s, by the list or by a call without an answer; the rest allows for calendar
@@ -355,6 +358,12 @@
         && !answerAwaited)
         order.wait = std::min({ serving && filled ? tailLatencyReportWait : reportWait,
             m_lossRate > lossyThreshold ? lossyReportWait : reportWait, m_bounds.maxWait });
+    for (const auto& [key, occupant] : target.occupants) {
+        // Its target is held until the report that clears it.
+        const Time clearedAt = occupant.startedAt + aloneTimeToClear + clearingMargin;
+        if (occupant.alone && occupant.phase == RunPhase::Running && clearedAt >= now)
+            order.wait = std::min(order.wait, std::chrono::ceil<std::chrono::milliseconds>(clearedAt - now));
+    }
     target.lookSentAt = now;
     target.lookWaits = order.wait.count() > 0;
     m_reportRequests.add();
@@ -686,6 +695,7 @@
             occupant.progressAt = now;
         occupant.percent = row.percent;
         occupant.gauge = row.gauge;
+        clearSuspect(target, row.task, occupant, now);
         if (CellJob* job = row.checkpoint.empty() ? nullptr : findJob(row.task.job)) {
             if (TaskState* task = job->task(row.task))
                 task->checkpoint = row.checkpoint;
--- a/tests/test_cell_odd_jobs.cpp
+++ b/tests/test_cell_odd_jobs.cpp
@@ -130,6 +130,68 @@
     CHECK(violations == std::vector<std::string> {});
 }
 
+// Guards against LOST: after one crash each task of the target held an idle target for itself until it ended.
+TEST_CASE_FIXTURE(OddJobTest, "the tasks of a crashed target leave most idle targets to other jobs")
+{
+    std::int64_t cores = 1000;
+    std::uint32_t tasks = 40;
+    int crashes = 1;
+    bool takesOver = false;
+    SUBCASE("one crash") { }
+    SUBCASE("smaller tasks")
+    {
+        cores = 500;
+        tasks = 80;
+    }
+    SUBCASE("two crashes") { crashes = 2; }
+    SUBCASE("a new owner after the crash") { takesOver = true; }
+    for (int i = 1; i <= 4; ++i)
+        targets.at(TargetId("t" + std::to_string(i))).entry.rack = RackId("near");
+    list();
+    lengthOf = [](const CellTaskKey& key) { return isBad(key) ? 40s : Duration(2s); };
+    StepSpec spec = step(tasks, cores);
+    spec.estimate = 40s;
+    spec.nearRack = RackId("near");
+    submitTo("bad", QueueId("q"), { spec });
+    for (int i = 0; i < crashes; ++i) {
+        run(500ms);
+        crash(TargetId("t" + std::to_string(i + 2)));
+    }
+    run(3s);
+    if (takesOver) {
+        takeOver();
+        run(1s);
+    }
+    for (int i = 0; i < 4; ++i) {
+        StepSpec large = step(2, 8000);
+        large.estimate = 2s;
+        submitTo("good" + std::to_string(i), QueueId("q"), { large });
+        runAndRecord(3s);
+    }
+    runAndRecord(5s);
+    CHECK(shareWithin("good", 5s) == 1);
+    CHECK(violations == std::vector<std::string> {});
+}
+
+// The opposite of the above: the task that crashes its targets must still be found among all that ran beside it.
+TEST_CASE_FIXTURE(OddJobTest, "a task that crashes its targets is given up, whatever ran beside it")
+{
+    std::int64_t cores = 1000;
+    SUBCASE("many neighbours") { cores = 500; }
+    SUBCASE("some neighbours") { cores = 2000; }
+    SUBCASE("few neighbours") { cores = 5000; }
+    lengthOf = [](const CellTaskKey& key) { return isBad(key) ? 20s : Duration(2s); };
+    crashesTarget = [](const CellTaskKey& key) { return isBad(key) && key.index == 3; };
+    submitTasks("bad", static_cast<std::uint32_t>(8 * 16000 / cores / 2), cores);
+    submitGood(20);
+    runAndRecord(30s);
+    const CellTaskKey culprit { JobId("bad"), 0, 0, 3 };
+    CHECK(state("bad") == "failed");
+    CHECK(crashesUnder[culprit] <= 3);
+    CHECK(shareWithin("good", 60s) == 1);
+    CHECK(violations == std::vector<std::string> {});
+}
+
 // Guards against LOST: one job with overdue times made a record that the store refuses, and no other was saved after
 // it.
 TEST_CASE_FIXTURE(OddJobTest, "a job with many overdue occurrences keeps no other job from being stored and started")
