Fix: An urgent job that waits for its rack kept others from idle targets

Cause: the forecast of room charged the waiting cores of a step to all targets of the service, also those that can't run it, so that the advisor was not asked for the steps behind it. Ruled out: denials and calls of the advisor; the admission's backlog, which refuses nothing while a tenth of the cores is free.

Evidence: test_cell_odd_jobs on fails in five of five forms with none of the other jobs in time (another account, the same one, a new owner, the rack's target lost, an advisor that allows one target).

RoomForecast becomes a module of its own and knows the room of each group of like targets; a step takes no more than those have that may run it.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -116,6 +116,7 @@
     m_targets.clear();
     m_accountUsage.clearRuns();
     m_targetList.reset();
+    m_targetGroups.clear();
     m_incarnationsChanged = false;
     m_reservations.clear();
     m_usableTargets.clear();
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -12,6 +12,7 @@
 #include "metrics.h"
 #include "placement.h"
 #include "record_log.h"
+#include "room_forecast.h"
 #include "run_time_estimate.h"
 #include "run_time_profile.h"
 #include "work_order.h"
@@ -228,6 +229,7 @@
     struct ServiceLoad {
         double workingCores = 0; ///< Cores of the runs that end by themselves.
         double freedPerSecond = 0; ///< Cores that these runs are expected to free each second, by their estimates.
+        std::unordered_map<std::uint32_t, double> freedByGroup; ///< As freedPerSecond, by CellTarget::group.
         std::map<BacklogKey, Backlog> backlog;
     };
 
@@ -305,6 +307,7 @@
     // Targets and orders.
     CellTarget* findTarget(const TargetId& id);
     CellTarget& findOrAddTarget(const TargetId& id);
+    std::uint32_t targetGroup(const TargetEntry& entry);
     CellTarget& recoverTarget(const TargetId& id, const MachineId& machine, CalendarTime bornAt, Time now);
     Time restartLeaseEnd(CalendarTime bornAt, Time now) const;
     void sendStartOrder(CellTarget& target, const CellTaskKey& key, Occupant& occupant, Time now);
@@ -388,6 +391,9 @@
     void countAccepted(const CellJob& job, Time now);
     static bool mustRestart(const StepSpec& spec, const TaskState& task);
     void claimRoomForRestarts(const std::vector<ReadyStep>& ready, Time now);
+    struct ServiceRoom;
+    ServiceRoom serviceRoom(const ServiceId& service, Time now);
+    static RoomDemand roomDemand(const ReadyStep& ready, const ServiceRoom& room);
     void forecastRoom(std::vector<ReadyStep>& ready, Time now);
     static std::chrono::milliseconds adviceTime(const QueueConfig& queue);
     void requestAdvice(const ReadyStep& ready, Time now);
@@ -439,6 +445,8 @@
     std::map<TargetId, std::unique_ptr<CellTarget>> m_targets;
     std::uint32_t m_lastTargetSerial = 0;
     std::map<CellTaskKey, TargetId> m_reservations; ///< Targets that suspects have, or will have, for themselves.
+    /** Numbers of the groups of targets with the same labels and capacity. */
+    std::map<std::pair<std::vector<std::string>, std::array<std::int64_t, 3>>, std::uint32_t> m_targetGroups;
     TargetList m_targetList; ///< The list that was last processed; null if processing it again may have an effect.
     bool m_incarnationsChanged = false; ///< Some runs may belong to incarnations that have been replaced.
     /** Targets that may get new work, by service; determined when needed and valid until the next sweep. */
--- a/src/cell_owner_order.cpp
+++ b/src/cell_owner_order.cpp
@@ -148,6 +148,75 @@
     }
 }
 
+/** Targets of a service that may get new work, and the forecast of their room. */
+struct CellOwner::ServiceRoom {
+    RoomForecast forecast;
+    std::vector<const CellTarget*> samples; ///< One target of each pool of the forecast.
+    std::vector<std::size_t> targetsOfPool; ///< Number of targets of each.
+    std::size_t targets = 0;
+    Resources smallest; ///< What each of the targets could hold.
+};
+
+/** Groups the targets of a service that may get new work into pools of like ones. */
+CellOwner::ServiceRoom CellOwner::serviceRoom(const ServiceId& service, Time now)
+{
+    ServiceRoom room;
+    const ServiceLoad& load = m_load.services[service];
+    std::unordered_map<std::uint32_t, std::size_t> poolOfGroup;
+    std::vector<RoomPool> pools;
+    for (const CellTarget* target : usableTargets(service, now)) {
+        const auto [pool, added] = poolOfGroup.try_emplace(target->group, pools.size());
+        const Resources& capacity = target->entry.capacity;
+        if (added) {
+            const auto freed = load.freedByGroup.find(target->group);
+            pools.push_back({ 0, freed == load.freedByGroup.end() ? 0 : freed->second });
+            room.samples.push_back(target);
+            room.targetsOfPool.push_back(0);
+            if (room.samples.size() == 1)
+                room.smallest = capacity;
+            room.smallest = { std::min(room.smallest.coresMilli, capacity.coresMilli),
+                std::min(room.smallest.memoryMb, capacity.memoryMb),
+                std::min(room.smallest.accelerators, capacity.accelerators) };
+        }
+        pools[pool->second].freeCores
+            += static_cast<double>(std::max<std::int64_t>(0, target->room().coresMilli)) / 1000;
+        ++room.targetsOfPool[pool->second];
+        ++room.targets;
+    }
+    room.forecast = RoomForecast(std::move(pools));
+    return room;
+}
+
+/** Returns what the waiting tasks of a step need, and which pools of its service may run them. */
+RoomDemand CellOwner::roomDemand(const ReadyStep& ready, const ServiceRoom& room)
+{
+    const StepSpec& spec = ready.job->spec.steps[ready.step];
+    const StepState& state = *ready.job->step(ready.stepKey());
+    auto waiting = static_cast<std::size_t>(
+        std::count_if(state.tasks.begin(), state.tasks.end(), [](const TaskState& task) { return task.waiting(); }));
+    RoomDemand demand;
+    std::size_t usable = room.targets;
+    if (!spec.requiredLabel.empty() || !spec.reserved().fitsIn(room.smallest)) {
+        usable = 0;
+        for (std::size_t i = 0; i < room.samples.size(); ++i) {
+            if (!mayEverRun(*room.samples[i], spec))
+                continue;
+            demand.pools.push_back(i);
+            usable += room.targetsOfPool[i];
+        }
+    }
+    if (spec.perTargetLimit > 0)
+        waiting = std::min(waiting, usable * spec.perTargetLimit);
+    const std::size_t denied
+        = state.advice.answered.size() - std::min(state.advice.answered.size(), state.advice.allowed.size());
+    if (usable > 0)
+        demand.usablePart = static_cast<double>(usable - std::min(usable, denied)) / static_cast<double>(usable);
+    else
+        waiting = 0;
+    demand.cores = static_cast<double>(static_cast<std::int64_t>(waiting) * spec.reserved().coresMilli) / 1000;
+    return demand;
+}
+
 /**
  * Determines which steps may find room within the validity of a ticket, given those that go before them. A question
  * about any other step would take the advisor's time from them, and its tickets would expire unused.
@@ -156,31 +225,23 @@
 {
     if (m_config.accounts.empty())
         return;
-    std::map<ServiceId, RoomForecast> forecasts;
+    std::map<ServiceId, ServiceRoom> rooms;
     for (ReadyStep& step : ready) {
         const QueueConfig* queue = queueOf(*step.job);
         if (!queue)
             continue;
-        const auto [forecast, added] = forecasts.try_emplace(queue->service);
-        if (added) {
-            std::int64_t freeMilli = 0;
-            for (const CellTarget* target : usableTargets(queue->service, now))
-                freeMilli += std::max<std::int64_t>(0, target->room().coresMilli);
-            forecast->second
-                = { static_cast<double>(freeMilli) / 1000, m_load.services[queue->service].freedPerSecond };
-        }
+        auto known = rooms.find(queue->service);
+        if (known == rooms.end())
+            known = rooms.emplace(queue->service, serviceRoom(queue->service, now)).first;
         const StepSpec& spec = step.job->spec.steps[step.step];
         // A step whose account is at its maximum takes no room from those behind it.
         if (!m_accountUsage.mayStart(step.job->spec.account, spec.demand * (spec.gang ? spec.tasks : 1))) {
             step.roomSoon = false;
             continue;
         }
-        const auto& tasks = step.job->step(step.stepKey())->tasks;
-        const auto waiting
-            = std::count_if(tasks.begin(), tasks.end(), [](const TaskState& task) { return task.waiting(); });
-        const bool found = forecast->second.take(static_cast<double>(waiting * spec.reserved().coresMilli) / 1000,
-            queue->advisor ? queue->advisor->ticketValidity : std::chrono::milliseconds(0));
-        step.roomSoon = found || spec.lasting;
+        RoomDemand demand = roomDemand(step, known->second);
+        demand.within = queue->advisor ? queue->advisor->ticketValidity : std::chrono::milliseconds(0);
+        step.roomSoon = known->second.forecast.take(demand) || spec.lasting;
     }
 }
 
@@ -212,6 +273,8 @@
                     if (!task.waiting() && !job->spec.steps[s].lasting && seconds > 0) {
                         serviceLoad.workingCores += cores;
                         serviceLoad.freedPerSecond += cores / seconds;
+                        if (task.target)
+                            serviceLoad.freedByGroup[task.target->group] += cores / seconds;
                     }
                 }
             }
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -96,6 +96,14 @@
     return std::min(now + restartNoticed + longest - age, m_ownedSince + m_bounds.sessionTtl + longest);
 }
 
+/** Returns the number of the targets with the labels and the capacity of an entry; 0 is none. */
+std::uint32_t CellOwner::targetGroup(const TargetEntry& entry)
+{
+    const auto& [cores, memory, accelerators] = entry.capacity;
+    const auto next = static_cast<std::uint32_t>(m_targetGroups.size() + 1);
+    return m_targetGroups.try_emplace({ entry.labels, { cores, memory, accelerators } }, next).first->second;
+}
+
 /**
  * Updates the known targets from the list of registered ones.
  * @param list All entries that could be read.
@@ -131,6 +139,8 @@
             |= !target.listed || target.entry.machine != entry.machine || target.entry.bornAt != entry.bornAt;
         if (target.heardAt == Time {})
             target.lapsesBy = std::max(target.lapsesBy, restartLeaseEnd(entry.bornAt, now));
+        if (target.group == 0 || target.entry.labels != entry.labels || target.entry.capacity != entry.capacity)
+            target.group = targetGroup(entry);
         target.entry = entry;
         target.speed.kind = entry.labels.empty() ? 0 : m_runTimes.kindNumber(entry.labels.front());
         target.listed = true;
--- a/src/cell_target.h
+++ b/src/cell_target.h
@@ -82,6 +82,7 @@
 struct CellTarget {
     std::uint32_t serial = 0; ///< Unique among all targets that the owner has known.
     TargetEntry entry;
+    std::uint32_t group = 0; ///< Equal for targets with the same labels and capacity.
     bool listed = false; ///< Contained in the latest list of targets.
     Time leavesAt {}; ///< Earliest time at which a draining target may leave; unset if it is not draining.
     Resources used; ///< Capacity reserved for all runs on the target.
--- a/src/work_order.cpp
+++ b/src/work_order.cpp
@@ -15,9 +15,6 @@
      */
     constexpr double slackShareKept = 0.5;
 
-    /** The advisor allows a part of the targets for a step, so that not each step can use the room that is freed. */
-    constexpr double roomSurplus = 1.5;
-
     /** Jobs whose remaining work differs by less than a factor of two are alike, as estimates are no better. */
     int sizeClassOf(std::int64_t coreMs)
     {
@@ -26,25 +23,6 @@
 
 } // namespace
 
-/**
- * @param freeCores Cores that no run uses.
- * @param freedPerSecond Cores that runs are expected to free each second.
- */
-RoomForecast::RoomForecast(double freeCores, double freedPerSecond)
-    : m_freeCores(freeCores)
-    , m_freedPerSecond(freedPerSecond)
-{
-}
-
-/** Assigns cores to the next step. @return True if the first of its tasks may find room within the time. */
-bool RoomForecast::take(double cores, std::chrono::milliseconds within)
-{
-    const double seconds = std::chrono::duration<double>(within).count();
-    const bool found = m_takenCores <= roomSurplus * (m_freeCores + m_freedPerSecond * seconds);
-    m_takenCores += cores;
-    return found;
-}
-
 /** Returns the name of a band, for logs. */
 const char* workBandName(WorkBand band)
 {
--- a/src/work_order.h
+++ b/src/work_order.h
@@ -49,19 +49,6 @@
 /** A job that completes later than this multiple of its objective has no value to its caller. */
 constexpr int lateObjectiveFactor = 3;
 
-/** Room of a service that its waiting steps may count on, in the order in which they get it. */
-class RoomForecast {
-public:
-    RoomForecast() = default;
-    RoomForecast(double freeCores, double freedPerSecond);
-    bool take(double cores, std::chrono::milliseconds within);
-
-private:
-    double m_freeCores = 0;
-    double m_freedPerSecond = 0;
-    double m_takenCores = 0;
-};
-
 std::chrono::milliseconds pathWithMargin(std::chrono::milliseconds path, double slackFactor);
 WorkRank workRank(const WorkItem& item, Time now);
 
--- a/tests/test_cell_odd_jobs.cpp
+++ b/tests/test_cell_odd_jobs.cpp
@@ -278,3 +278,77 @@
     CHECK(shareWithin("good", 2500ms) == 1);
     CHECK(violations == std::vector<std::string> {});
 }
+
+namespace {
+
+/** A cell with two client accounts and an advisor; the last target is alone in its rack. */
+struct RackTest : OddJobTest {
+    RackTest()
+        : OddJobTest(5)
+    {
+        config.queues.front().advisor = AdvisorTraits { 32500us, 455us, 2500ms };
+        QueueConfig urgent = config.queues.front();
+        urgent.id = QueueId("urgent");
+        config.queues.front().priority = 2;
+        config.queues.push_back(urgent);
+        setMaximum("first", {});
+        setMaximum("second", {});
+        takeOver();
+        run(200ms);
+    }
+
+    void submitUrgent(const std::string& label)
+    {
+        StepSpec spec = step(57, 6700);
+        spec.estimate = 2s;
+        spec.requiredLabel = label;
+        account = AccountId("first");
+        submitTo("bad", QueueId("urgent"), { spec });
+        run(1s);
+    }
+};
+
+} // namespace
+
+// Guards against LOST: the forecast gave an urgent step the room of targets that can't run it, and the advisor was not
+// asked for the steps behind it.
+TEST_CASE_FIXTURE(RackTest, "an urgent job that waits for its rack leaves the other targets to other jobs")
+{
+    lengthOf = [](const CellTaskKey&) { return Duration(2s); };
+    std::string label = "r5";
+    AccountId other("second");
+    bool takesOver = false;
+    SUBCASE("of another account") { }
+    SUBCASE("of the same account") { other = AccountId("first"); }
+    SUBCASE("a new owner") { takesOver = true; }
+    SUBCASE("its only target is lost")
+    {
+        submitUrgent("r5");
+        label.clear();
+        restartDelay = 60s;
+        crash(TargetId("t5"));
+    }
+    SUBCASE("the advisor allows only one target")
+    {
+        label = "a";
+        advisorAllows = [](const TargetId& id, const StepKey& key) {
+            return !key.job.value.starts_with("bad") || id == TargetId("t5");
+        };
+    }
+    if (!label.empty())
+        submitUrgent(label);
+    if (takesOver) {
+        takeOver();
+        run(500ms);
+    }
+    account = other;
+    for (int i = 0; i < 6; ++i) {
+        StepSpec spec = step(4, 2000);
+        spec.estimate = 2s;
+        submitTo("good" + std::to_string(i), QueueId("q"), { spec });
+        runAndRecord(1s);
+    }
+    runAndRecord(4s);
+    CHECK(shareWithin("good", 4s) == 1);
+    CHECK(violations == std::vector<std::string> {});
+}
--- a/tests/test_work_order.cpp
+++ b/tests/test_work_order.cpp
@@ -153,18 +153,3 @@
     CHECK(workRank(lasting, start + 1h).band == WorkBand::Rest);
     CHECK(workBandName(WorkBand::Rest) == std::string("rest"));
 }
-
-// Tickets of steps that get no room expire unused, and the calls for them were missing to the steps that did.
-TEST_CASE("only steps that may find room while a ticket is valid are asked for, in the order of the queue")
-{
-    RoomForecast full(0, 10); // 25 cores become free within 2.5 s; each step can use a part of them only.
-    CHECK(full.take(30, 2500ms));
-    CHECK(full.take(30, 2500ms));
-    CHECK_FALSE(full.take(30, 2500ms));
-    RoomForecast idle(1000, 0);
-    for (int i = 0; i < 10; ++i)
-        CHECK(idle.take(100, 2500ms));
-    RoomForecast stuck(0, 0); // The first step is asked for, whatever the forecast.
-    CHECK(stuck.take(10, 2500ms));
-    CHECK_FALSE(stuck.take(10, 2500ms));
-}
