Fix: Jobs with many tasks took the memory of each host that owned the cell

Cause: nothing bounded the tasks of all open jobs together. Ruled out: a leak, as the memory grows with accepted jobs only.

The tasks of open jobs take at most a quarter of a small host's memory, and a job at most a quarter of what is left, so that small jobs find room. Others are refused at once.

Also: suspects are sorted only if a step has one, as the sort took time for each wide step.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -3,8 +3,10 @@
 #include "fnv_hash_func.h"
 #include "log_line.h"
 #include "occurrence_pacing.h"
+#include "task_budget.h"
 
 #include <algorithm>
+#include <numeric>
 #include <sstream>
 
 namespace sp {
@@ -113,6 +115,7 @@
     m_dirtyJobs.clear();
     m_batches = {};
     m_recordRemovals.clear();
+    m_heldTasks = 0;
     m_targets.clear();
     m_accountUsage.clearRuns();
     m_targetList.reset();
@@ -296,6 +299,20 @@
         reply({ JobAnswer::Kind::Refused, overloadRetryAfter(spec.id), "the owner is overloaded" });
         return;
     }
+    const std::size_t tasks = std::accumulate(spec.steps.begin(), spec.steps.end(), std::size_t { 0 },
+        [](std::size_t sum, const StepSpec& step) { return sum + step.tasks; });
+    if (!mayHoldTasks(tasks, m_heldTasks, m_bounds.taskBudget)) {
+        m_jobsRefused.add();
+        LogLine(LogLevel::Info, "job_refused")
+            .with("job", spec.id)
+            .with("queue", spec.queue)
+            .with("reason", "no memory for its tasks")
+            .with("tasks", tasks)
+            .with("held", m_heldTasks)
+            .with("budget", m_bounds.taskBudget);
+        reply({ JobAnswer::Kind::Refused, overloadRetryAfter(spec.id), "no memory for its tasks" });
+        return;
+    }
     if (const auto reason = refusalReason(spec, now)) {
         m_jobsRefused.add();
         LogLine(LogLevel::Info, "job_refused").with("job", spec.id).with("queue", spec.queue).with("reason", *reason);
@@ -325,6 +342,7 @@
         return;
     }
     m_jobsBeyondRate.add(job.beyondRate ? 1 : 0);
+    m_heldTasks += tasks;
     m_jobs.emplace(job.spec.id, std::move(owned));
     LogLine(LogLevel::Info, "job_taken")
         .with("job", job.spec.id)
@@ -800,9 +818,11 @@
         noteEndedDenials(now);
         releaseStaleDisplacementClaims(now);
         m_usableTargets.clear();
+        m_heldTasks = 0;
         for (CellJob* job : m_open) {
             if (job->timed())
                 beginDueOccurrences(*job, now);
+            m_heldTasks += std::max<std::size_t>(1, job->occurrences.size()) * job->tasksPerOccurrence();
         }
         removeExpiredJobs(now);
     }
--- a/src/cell_owner.h
+++ b/src/cell_owner.h
@@ -42,6 +42,7 @@
     std::chrono::milliseconds drain { 2000 };
     RateTolerance rateTolerance; ///< Jobs that an account may submit beyond its mean rate before they count as excess.
     std::size_t valueBytes = std::size_t { 1 } << 20U; ///< Largest value that the store accepts.
+    std::size_t taskBudget = 500000; ///< Tasks of open jobs that the host may hold, see taskBudget().
     /** Target entries that lapsed during a store outage are registered again within this time. */
     std::chrono::milliseconds listSettled { 2000 };
 };
@@ -439,6 +440,7 @@
     LoadEstimates m_load; ///< Empty unless the cell has client accounts.
     Duration m_lag {}; ///< Time that an event waits for the event loop of this host.
     Duration m_storeDelay {}; ///< Recent duration of a store transaction.
+    std::size_t m_heldTasks = 0; ///< Tasks of the open jobs, as of the last sweep, and of those accepted since.
     bool m_storeStalled = false; ///< The store does not answer, so records cannot be saved.
     std::vector<std::string> m_recordRemovals; ///< Keys of expired job records to delete.
     AccountUsage m_accountUsage;
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -233,8 +233,9 @@
         std::stable_partition(
             order.begin(), order.end(), [&](std::uint32_t i) { return mustRestart(spec, state.tasks[i]); });
     const auto crashes = [&](std::uint32_t i) { return state.tasks[i].suspect ? state.tasks[i].crashes : 0; };
-    std::stable_sort( // The likeliest suspects get a target for themselves.
-        order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) { return crashes(a) > crashes(b); });
+    if (std::any_of(state.tasks.begin(), state.tasks.end(), [](const TaskState& task) { return task.suspect; }))
+        std::stable_sort( // The likeliest suspects get a target for themselves.
+            order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) { return crashes(a) > crashes(b); });
     for (const std::uint32_t i : order) {
         TaskState& task = state.tasks[i];
         if (!task.waiting())
--- a/tests/test_cell_odd_jobs.cpp
+++ b/tests/test_cell_odd_jobs.cpp
@@ -279,6 +279,27 @@
     CHECK(violations == std::vector<std::string> {});
 }
 
+TEST_CASE_FIXTURE(
+    OddJobTest, "jobs of many tasks are refused before they take the memory of the owner, small ones are not")
+{
+    bounds.taskBudget = 20000;
+    takeOver();
+    run(200ms);
+    lengthOf = [](const CellTaskKey&) { return Duration(600ms); };
+    for (int i = 0; i < 30; ++i) {
+        submitTasks("bad" + std::to_string(i), 2000, 100);
+        submitGood(1);
+    }
+    runAndRecord(3s);
+    int accepted = 0;
+    for (int i = 0; i < 30; ++i)
+        accepted += answers[JobId("bad" + std::to_string(i))] == JobAnswer::Kind::Ok ? 1 : 0;
+    CHECK(accepted > 5);
+    CHECK(accepted < 30);
+    CHECK(answers[JobId("good30")] == JobAnswer::Kind::Ok);
+    CHECK(violations == std::vector<std::string> {});
+}
+
 namespace {
 
 /** A cell with two client accounts and an advisor; the last target is alone in its rack. */
