Fix: Tasks of more than 300 s were stopped as stalled and never ended

A run was stopped after at most 3 s without a percent of progress, and a percent of such a task takes longer.

stall_limit allows three percent of the estimate, and doubles the time with each stop of the task, since a task that stalls on several targets is only slower than estimated.

--- a/src/cell_job.h
+++ b/src/cell_job.h
@@ -35,6 +35,7 @@
     CalendarTime recordedBornAt {}; ///< Start time of that target's incarnation, to which the run was assigned.
     MachineId recordedMachine; ///< Machine of that target.
     std::string checkpoint; ///< Most recent checkpoint.
+    std::uint32_t stalls = 0; ///< Number of runs stopped since they made no progress; only those of this owner.
     std::uint32_t displaced = 0; ///< Number of runs stopped for more urgent work; only those that this owner stopped.
     std::set<TargetId> avoid; ///< Targets on which a run of this task failed or made no progress.
     Time waitingSince {}; ///< Time since which the task has been waiting for a target.
--- a/src/cell_owner_targets.cpp
+++ b/src/cell_owner_targets.cpp
@@ -2,6 +2,7 @@
 #include "crash_suspect.h"
 
 #include "log_line.h"
+#include "stall_limit.h"
 #include "tail_guard.h"
 
 #include <algorithm>
@@ -39,16 +40,6 @@
     constexpr std::chrono::milliseconds maxReportRetry { 1000 };
     /** Time beyond stopTimeout to send the stop order and to fetch the report with the checkpoint. */
     constexpr std::chrono::milliseconds evacuationMargin { 600 };
-    /**
-     * A run that does not advance by a percent in its whole estimated time is a hundred times too slow. Run times
-     * exceed estimates by far less, also on slow targets.
-     */
-    std::chrono::milliseconds stallTimeout(std::chrono::milliseconds estimate)
-    {
-        constexpr std::chrono::milliseconds shortest { 1000 }; ///< Covers the start of a task and its checkpoint.
-        constexpr std::chrono::milliseconds longest { 3000 };
-        return std::clamp(estimate, shortest, longest);
-    }
 
 } // namespace
 
@@ -749,14 +740,16 @@
 {
     for (auto& [key, occupant] : target.occupants) {
         const StepSpec* spec = findStepSpec(key);
+        CellJob* job = findJob(key.job);
+        TaskState* task = job ? job->task(key) : nullptr;
         const bool exempt = occupant.fills || (occupant.lasting && occupant.percent >= 100);
         // Gang members make no progress until all of them have started.
-        const auto limit = stallTimeout(occupant.estimate)
+        const auto limit = stallLimit(occupant.estimate, task ? task->stalls : 0)
             + (spec && spec->gang ? m_bounds.gangTimeout : std::chrono::milliseconds(0));
         if (occupant.phase != RunPhase::Running || exempt || now - occupant.progressAt <= limit)
             continue;
-        CellJob* job = findJob(key.job);
-        if (TaskState* task = job ? job->task(key) : nullptr) {
+        if (task) {
+            ++task->stalls;
             task->avoid.insert(target.id());
             beginStop(target, key, occupant, "stalled", now);
         }
--- a/tests/test_cell_odd_jobs.cpp
+++ b/tests/test_cell_odd_jobs.cpp
@@ -91,6 +91,22 @@
     CHECK(violations == std::vector<std::string> {});
 }
 
+// Guards against LOST: such tasks were stopped as stalled every three seconds, and never ended.
+TEST_CASE_FIXTURE(OddJobTest, "tasks that take far longer than estimated come to their end, and shut no target out")
+{
+    lengthOf = [](const CellTaskKey& key) { return isBad(key) ? 405s : Duration(600ms); };
+    StepSpec spec = step(4, 1000);
+    spec.estimate = 54s;
+    submitTo("bad", QueueId("q"), { spec });
+    submitGood(10);
+    runAndRecord(5s);
+    run(420s);
+    CHECK(state("bad") == "completed");
+    CHECK(startsOf("bad") <= 8); // One stop of each task tells that it only is slow.
+    CHECK(shareWithin("good", 2500ms) == 1);
+    CHECK(violations == std::vector<std::string> {});
+}
+
 TEST_CASE_FIXTURE(OddJobTest, "many small jobs that can't be done keep no other job waiting")
 {
     lengthOf = [](const CellTaskKey& key) { return isBad(key) ? 300ms : Duration(600ms); };
