--- a/tests/test_cell_odd_jobs.cpp
+++ b/tests/test_cell_odd_jobs.cpp
@@ -198,7 +198,7 @@
     SUBCASE("few neighbours") { cores = 5000; }
     lengthOf = [](const CellTaskKey& key) { return isBad(key) ? 20s : Duration(2s); };
     crashesTarget = [](const CellTaskKey& key) { return isBad(key) && key.index == 3; };
-    submitTasks("bad", static_cast<std::uint32_t>(8 * 16000 / cores / 2), cores);
+    submitTasks("bad", static_cast<std::uint32_t>(64000 / cores), cores);
     submitGood(20);
     runAndRecord(30s);
     const CellTaskKey culprit { JobId("bad"), 0, 0, 3 };
